--- /dev/null
+++ b/cftctl/main.go
@@ -0,0 +1,4 @@
+// Command cftctl is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/cftd/main.go
@@ -0,0 +1,4 @@
+// Command cftd is described in README.md.
+package main
+
+func main() {}
--- /dev/null
+++ b/cftlab/main.go
@@ -0,0 +1,4 @@
+// Command cftlab is described in README.md.
+package main
+
+func main() {}
