Add a fair discipline and the deadline calls to the gate

The FIFO gate lets one customer crowd out the others and refuses nothing that cannot end in time. Fair shares slot time by weight with one lane per tier and class. The gate measures service times, refuses what would be too late, keeps the deadlines of waiting tickets in a heap and re-classes short work that overruns while it runs.

API: SetLimits takes the time and returns decisions for waiting tickets; new Resize, Abandon, NextDeadline, Expire, ShortService; Ticket.Tier comes from the customer's contract. Arrive, Finish, Cancel and Report keep their signatures.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -31,6 +31,8 @@
 	ID uint64
 	// Customer holds the contract.
 	Customer model.Customer
+	// Tier is the tier of the customer's contract.
+	Tier model.Tier
 	// Class is the class of the work.
 	Class model.Class
 	// ArrivedAt is when the gate first saw the request.
@@ -55,118 +57,21 @@
 type Discipline interface {
 	// Push adds a ticket.
 	Push(ticket Ticket, limits model.Limits)
-	// Pop takes the next ticket for which may returns true.
+	// Pop takes the next ticket for which may returns true. The answer of may depends on the tier and
+	// the class of a ticket alone.
 	Pop(may func(Ticket) bool) (Ticket, bool)
 	// Remove takes out one ticket and says whether it was there.
 	Remove(id uint64) bool
+	// Started tells that a ticket, popped or not, takes a slot for about the given time.
+	Started(ticket Ticket, limits model.Limits, estimate time.Duration)
+	// Reclassed tells that a running ticket turned out to be long; its class is Long already.
+	Reclassed(ticket Ticket, limits model.Limits, estimate time.Duration)
 	// Finished tells that a started ticket held a slot for the given time.
 	Finished(ticket Ticket, held time.Duration, limits model.Limits)
-	// Len counts the waiting tickets; Waiting those of one customer.
+	// Ahead returns the slot time of the work that will start before the ticket if it waits now, where
+	// one waiting ticket of its class takes about the given time.
+	Ahead(ticket Ticket, limits model.Limits, each time.Duration) time.Duration
+	// Len counts the waiting tickets; Waiting those that share the ticket's queue bound.
 	Len() int
-	Waiting(customer model.Customer) int
-}
-
-// Gate hands out the slots of one upstream.
-type Gate[D Discipline] struct {
-	// Slots is how many tickets may hold a slot at once; at least 1.
-	Slots int
-
-	discipline D
-	limits     map[model.Customer]model.Limits
-	running    map[uint64]held
-	long       int
-}
-
-type held struct {
-	ticket    Ticket
-	startedAt time.Time
-}
-
-// New returns a gate with free slots and no limits.
-func New[D Discipline](slots int, discipline D) *Gate[D] {
-	return &Gate[D]{Slots: slots, discipline: discipline, running: map[uint64]held{}}
-}
-
-// SetLimits replaces the limits of all customers.
-func (g *Gate[D]) SetLimits(slots int, limits map[model.Customer]model.Limits) {
-	g.Slots = slots
-	g.limits = limits
-}
-
-// Arrive decides for a new ticket.
-func (g *Gate[D]) Arrive(now time.Time, ticket Ticket) Decision {
-	limits, known := g.limits[ticket.Customer]
-	if !known {
-		return refusal(ticket, model.NoContract)
-	}
-	if !ticket.Deadline.After(now) {
-		return refusal(ticket, model.TooLate)
-	}
-	if g.discipline.Len() == 0 && g.may(ticket) {
-		return g.start(now, ticket)
-	}
-	if g.discipline.Waiting(ticket.Customer) >= limits.Queue {
-		return refusal(ticket, model.QueueFull)
-	}
-	g.discipline.Push(ticket, limits)
-	return Decision{Ticket: ticket.ID, Action: Wait}
-}
-
-// Finish frees the slot of a started ticket and returns the decisions that follow for waiting ones.
-func (g *Gate[D]) Finish(now time.Time, id uint64) []Decision {
-	h, running := g.running[id]
-	if !running {
-		return nil
-	}
-	delete(g.running, id)
-	if h.ticket.Class == model.Long {
-		g.long--
-	}
-	g.discipline.Finished(h.ticket, now.Sub(h.startedAt), g.limits[h.ticket.Customer])
-	return g.fill(now)
-}
-
-// Cancel takes out a waiting ticket. It returns false when the ticket is not waiting any more.
-func (g *Gate[D]) Cancel(id uint64) bool {
-	return g.discipline.Remove(id)
-}
-
-// Report describes the gate's load.
-func (g *Gate[D]) Report() model.GateReport {
-	return model.GateReport{InFlight: len(g.running), Queued: g.discipline.Len(), Slots: g.Slots}
-}
-
-func (g *Gate[D]) fill(now time.Time) []Decision {
-	var decisions []Decision
-	for len(g.running) < g.Slots {
-		ticket, found := g.discipline.Pop(g.may)
-		if !found {
-			return decisions
-		}
-		if !ticket.Deadline.After(now) {
-			decisions = append(decisions, refusal(ticket, model.TooLate))
-			continue
-		}
-		decisions = append(decisions, g.start(now, ticket))
-	}
-	return decisions
-}
-
-func (g *Gate[D]) may(ticket Ticket) bool {
-	if len(g.running) >= g.Slots {
-		return false
-	}
-	return ticket.Class == model.Short || g.long < max(1, g.limits[ticket.Customer].LongSlots)
-}
-
-func (g *Gate[D]) start(now time.Time, ticket Ticket) Decision {
-	g.running[ticket.ID] = held{ticket: ticket, startedAt: now}
-	if ticket.Class == model.Long {
-		g.long++
-	}
-	return Decision{Ticket: ticket.ID, Action: Start}
-}
-
-func refusal(ticket Ticket, reason model.Reason) Decision {
-	return Decision{Ticket: ticket.ID, Action: Refuse, Reason: reason}
+	Waiting(ticket Ticket) int
 }
--- a/core/command/admit/fifo.go
+++ b/core/command/admit/fifo.go
@@ -43,14 +43,25 @@
 	return true
 }
 
-// Finished does nothing: arrival order needs no accounts.
+// Started does nothing: arrival order needs no accounts.
+func (f *FIFO) Started(Ticket, model.Limits, time.Duration) {}
+
+// Reclassed does nothing.
+func (f *FIFO) Reclassed(Ticket, model.Limits, time.Duration) {}
+
+// Finished does nothing.
 func (f *FIFO) Finished(Ticket, time.Duration, model.Limits) {}
 
+// Ahead counts every waiting ticket.
+func (f *FIFO) Ahead(_ Ticket, _ model.Limits, each time.Duration) time.Duration {
+	return time.Duration(len(f.waiting)) * each
+}
+
 // Len counts the waiting tickets.
 func (f *FIFO) Len() int { return len(f.waiting) }
 
-// Waiting counts the waiting tickets of one customer.
-func (f *FIFO) Waiting(customer model.Customer) int { return f.counts[customer] }
+// Waiting counts the waiting tickets of the same customer.
+func (f *FIFO) Waiting(ticket Ticket) int { return f.counts[ticket.Customer] }
 
 func (f *FIFO) take(i int) Ticket {
 	ticket := f.waiting[i]
--- a/core/command/admit/fifo_test.go
+++ b/core/command/admit/fifo_test.go
@@ -33,14 +33,14 @@
 			want: []admit.Decision{
 				{Ticket: 1, Action: admit.Start},
 				{Ticket: 2, Action: admit.Wait},
-				{Ticket: 3, Action: admit.Refuse, Reason: model.QueueFull},
+				{Ticket: 3, Action: admit.Refuse, Reason: model.QueueFull, RetryAfter: 0},
 			},
 		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			gate := admit.New(1, admit.NewFIFO())
-			gate.SetLimits(1, limits)
+			gate.SetLimits(start, 1, limits)
 			var got []admit.Decision
 			for _, ticket := range test.tickets {
 				got = append(got, gate.Arrive(start, ticket))
--- /dev/null
+++ b/core/command/admit/gate.go
@@ -0,0 +1,275 @@
+package admit
+
+import (
+	"time"
+
+	"comfreytack/core/heap"
+	"comfreytack/core/model"
+)
+
+// Gate hands out the slots of one upstream.
+//
+// After each method no waiting ticket could start: a free slot means that nothing that may use it waits.
+type Gate[D Discipline] struct {
+	// Slots is how many tickets may hold a slot at once; at least 1. SetLimits and Resize change it.
+	Slots int
+
+	discipline D
+	limits     map[model.Customer]model.Limits
+	// full is the number of slots that limits were made for.
+	full    int
+	running map[uint64]*held
+	// long counts the running tickets of class Long.
+	long int
+	// deadlines has the waiting tickets, and shorts the running ones of class Short by their start.
+	deadlines *heap.Heap[uint64, time.Time]
+	shorts    *heap.Heap[uint64, time.Time]
+	// times has the measured service times by class.
+	times [2]estimate
+}
+
+type held struct {
+	ticket    Ticket
+	startedAt time.Time
+	// abandoned tickets have no caller any more; how long they run says nothing of a service time.
+	abandoned bool
+	// overrun tickets started as Short.
+	overrun bool
+}
+
+// New returns a gate with free slots and no limits.
+func New[D Discipline](slots int, discipline D) *Gate[D] {
+	return &Gate[D]{
+		Slots:      slots,
+		full:       slots,
+		discipline: discipline,
+		running:    map[uint64]*held{},
+		deadlines:  heap.New[uint64](time.Time.Before),
+		shorts:     heap.New[uint64](time.Time.Before),
+	}
+}
+
+// SetLimits replaces the limits of all customers, made for the given number of slots, and returns the
+// decisions that follow for waiting tickets. Tickets that were accepted under earlier limits stay.
+func (g *Gate[D]) SetLimits(now time.Time, slots int, limits map[model.Customer]model.Limits) []Decision {
+	g.full = max(1, slots)
+	g.limits = limits
+	return g.Resize(now, slots)
+}
+
+// Resize changes the number of slots alone, as an adaptive limit does. Guarantees shrink and grow with
+// it. Running tickets keep their slots: after a cut none starts until enough have finished.
+func (g *Gate[D]) Resize(now time.Time, slots int) []Decision {
+	g.Slots = max(1, slots)
+	return g.fill(now)
+}
+
+// Arrive decides for a new ticket.
+func (g *Gate[D]) Arrive(now time.Time, ticket Ticket) Decision {
+	g.reclass(now)
+	limits, known := g.limitsOf(ticket)
+	if !known {
+		return refusal(ticket, model.NoContract, 0)
+	}
+	if !ticket.Deadline.After(now) {
+		return refusal(ticket, model.TooLate, 0)
+	}
+	if g.may(ticket) {
+		return g.start(now, ticket)
+	}
+	wait := g.wait(ticket, limits)
+	if g.discipline.Waiting(ticket) >= limits.Queue {
+		return refusal(ticket, model.QueueFull, wait)
+	}
+	spare := ticket.Deadline.Sub(now) - wait - g.times[ticket.Class].cautious()
+	if spare < 0 {
+		return refusal(ticket, model.TooLate, -spare)
+	}
+	g.discipline.Push(ticket, limits)
+	g.deadlines.Set(ticket.ID, ticket.Deadline)
+	return Decision{Ticket: ticket.ID, Action: Wait}
+}
+
+// Finish frees the slot of a started ticket and returns the decisions that follow for waiting ones. It
+// must not be called before the upstream's work is over: work whose caller is gone still loads the
+// upstream.
+func (g *Gate[D]) Finish(now time.Time, id uint64) []Decision {
+	g.reclass(now)
+	h, running := g.running[id]
+	if !running {
+		return nil
+	}
+	delete(g.running, id)
+	g.shorts.Remove(id)
+	if h.ticket.Class == model.Long {
+		g.long--
+	}
+	g.measure(h, now.Sub(h.startedAt))
+	limits, _ := g.limitsOf(h.ticket)
+	g.discipline.Finished(h.ticket, now.Sub(h.startedAt), limits)
+	return g.fill(now)
+}
+
+// Cancel takes out a waiting ticket. It returns false when the ticket is not waiting any more.
+func (g *Gate[D]) Cancel(id uint64) bool {
+	if !g.deadlines.Remove(id) {
+		return false
+	}
+	return g.discipline.Remove(id)
+}
+
+// Abandon notes that the caller of a running ticket is gone, so that the time it still holds its slot,
+// cut short by cancellation or not, does not count as a measured service time. The slot stays taken, and
+// the customer charged, until Finish. It returns false when the ticket is not running.
+func (g *Gate[D]) Abandon(id uint64) bool {
+	h, running := g.running[id]
+	if running {
+		h.abandoned = true
+	}
+	return running
+}
+
+// NextDeadline returns the first deadline of the waiting tickets, or false when none waits.
+func (g *Gate[D]) NextDeadline() (time.Time, bool) {
+	_, deadline, found := g.deadlines.Least()
+	return deadline, found
+}
+
+// Expire refuses the waiting tickets whose deadline has come.
+func (g *Gate[D]) Expire(now time.Time) []Decision {
+	var decisions []Decision
+	for {
+		id, deadline, found := g.deadlines.Least()
+		if !found || deadline.After(now) {
+			return decisions
+		}
+		g.deadlines.Remove(id)
+		g.discipline.Remove(id)
+		decisions = append(decisions, refusal(Ticket{ID: id}, model.TooLate, 0))
+	}
+}
+
+// Report describes the gate's load. Upstream, Incarnation, Leaving and Revision are for the caller to
+// fill in.
+func (g *Gate[D]) Report() model.GateReport {
+	report := model.GateReport{
+		InFlight:  len(g.running),
+		Queued:    g.discipline.Len(),
+		Slots:     g.Slots,
+		ServiceUs: g.ShortService().Microseconds(),
+	}
+	if len(g.running) >= g.Slots {
+		work := time.Duration(g.discipline.Len()+1) * g.ShortService()
+		report.WaitUs = (work / time.Duration(g.Slots)).Microseconds()
+	}
+	return report
+}
+
+// ShortService returns the recent mean service time of short work; zero before the first was measured.
+func (g *Gate[D]) ShortService() time.Duration {
+	return g.times[model.Short].average()
+}
+
+// fill starts waiting tickets while slots are free, and refuses those that come up too late to finish.
+func (g *Gate[D]) fill(now time.Time) []Decision {
+	var decisions []Decision
+	for len(g.running) < g.Slots {
+		ticket, found := g.discipline.Pop(g.may)
+		if !found {
+			return decisions
+		}
+		g.deadlines.Remove(ticket.ID)
+		if g.hopeless(now, ticket) {
+			decisions = append(decisions, refusal(ticket, model.TooLate, 0))
+			continue
+		}
+		decisions = append(decisions, g.start(now, ticket))
+	}
+	return decisions
+}
+
+// hopeless tells whether starting the ticket now would most likely waste a slot. Durations of long work
+// spread too widely to foretell.
+func (g *Gate[D]) hopeless(now time.Time, ticket Ticket) bool {
+	left := ticket.Deadline.Sub(now)
+	if ticket.Class == model.Long {
+		return left <= 0
+	}
+	return left <= g.ShortService()
+}
+
+func (g *Gate[D]) may(ticket Ticket) bool {
+	if len(g.running) >= g.Slots {
+		return false
+	}
+	if ticket.Class == model.Short {
+		return true
+	}
+	limits, _ := g.limitsOf(ticket)
+	return g.long < limits.LongSlots
+}
+
+func (g *Gate[D]) start(now time.Time, ticket Ticket) Decision {
+	g.running[ticket.ID] = &held{ticket: ticket, startedAt: now}
+	if ticket.Class == model.Long {
+		g.long++
+	} else {
+		g.shorts.Set(ticket.ID, now)
+	}
+	limits, _ := g.limitsOf(ticket)
+	g.discipline.Started(ticket, limits, g.times[ticket.Class].average())
+	return Decision{Ticket: ticket.ID, Action: Start}
+}
+
+// reclass turns running short tickets that have taken far too long into long ones, so that they count
+// against the slots for long work.
+func (g *Gate[D]) reclass(now time.Time) {
+	limit := g.times[model.Short].overrun()
+	if limit == 0 {
+		return
+	}
+	for {
+		id, startedAt, found := g.shorts.Least()
+		if !found || now.Sub(startedAt) < limit {
+			return
+		}
+		g.shorts.Remove(id)
+		h := g.running[id]
+		h.ticket.Class = model.Long
+		h.overrun = true
+		g.long++
+		g.times[model.Short].add(limit)
+		limits, _ := g.limitsOf(h.ticket)
+		g.discipline.Reclassed(h.ticket, limits, g.times[model.Long].average())
+	}
+}
+
+func (g *Gate[D]) measure(h *held, time time.Duration) {
+	if !h.abandoned {
+		g.times[h.ticket.Class].add(time)
+	}
+}
+
+// wait returns how long the ticket would wait if it were queued now: the work ahead of it and the rest
+// of the work that holds the slots, spread over the slots of its class.
+func (g *Gate[D]) wait(ticket Ticket, limits model.Limits) time.Duration {
+	each := g.times[ticket.Class].average()
+	slots := g.Slots
+	if ticket.Class == model.Long {
+		slots = min(slots, limits.LongSlots)
+	}
+	return (g.discipline.Ahead(ticket, limits, each) + each) / time.Duration(slots)
+}
+
+// limitsOf returns the customer's limits with its shares scaled to the slots that the gate has now.
+func (g *Gate[D]) limitsOf(ticket Ticket) (model.Limits, bool) {
+	limits, known := g.limits[ticket.Customer]
+	slots := min(g.Slots, g.full)
+	limits.Guaranteed = limits.Guaranteed * slots / g.full
+	limits.LongSlots = max(1, limits.LongSlots*slots/g.full)
+	return limits, known
+}
+
+func refusal(ticket Ticket, reason model.Reason, retryAfter time.Duration) Decision {
+	return Decision{Ticket: ticket.ID, Action: Refuse, Reason: reason, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/core/command/admit/lane.go
@@ -0,0 +1,246 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"comfreytack/core/heap"
+	"comfreytack/core/model"
+)
+
+const (
+	millislotsPerSlot = 1000
+	// minCharge is the least slot time that a ticket is charged, so that work that ends at once cannot
+	// start over and over at the same virtual time.
+	minCharge = 100 * time.Microsecond
+)
+
+// flow is the work of one customer in one lane.
+type flow struct {
+	customer model.Customer
+	lane     *lane
+	// weight is at least 1.
+	weight float64
+	// guaranteed is how many whole slots the flow may claim before others; zero in lanes of long work.
+	guaranteed int
+	// queue has the waiting tickets in order of arrival.
+	queue []Ticket
+	// running counts the slots that the flow holds.
+	running int
+	// tag is the virtual time at which the flow's next ticket starts; while the flow waits it is at
+	// least the lane's virtual time.
+	tag float64
+	// mean is the moving average of the flow's own service times; zero before the first.
+	mean estimate
+}
+
+// lane holds the flows of one tier and class. Virtual time is slot time in seconds over weight.
+type lane struct {
+	class model.Class
+	// flows has every flow that waits, runs or still owes for slots that it took in this backlog.
+	flows map[model.Customer]*flow
+	// reserved has the waiting flows below their guarantee and borrowing the other waiting ones, least
+	// tag first; indebted has the flows that neither wait nor run and owe.
+	reserved  *heap.Heap[model.Customer, *flow]
+	borrowing *heap.Heap[model.Customer, *flow]
+	indebted  *heap.Heap[model.Customer, *flow]
+	// virtual never falls while the lane has a flow; no waiting flow's tag is below it.
+	virtual float64
+	// weight sums the weights of the waiting flows, and waiting counts their tickets.
+	weight  float64
+	waiting int
+}
+
+func newLane(class model.Class) *lane {
+	return &lane{
+		class:     class,
+		flows:     map[model.Customer]*flow{},
+		reserved:  heap.New[model.Customer](before),
+		borrowing: heap.New[model.Customer](before),
+		indebted:  heap.New[model.Customer](before),
+	}
+}
+
+// before orders flows by tag; of two that are level, the one that holds less for its weight goes first.
+func before(a, b *flow) bool {
+	if a.tag != b.tag {
+		return a.tag < b.tag
+	}
+	holdsA := float64(a.running) / a.weight
+	holdsB := float64(b.running) / b.weight
+	if holdsA != holdsB {
+		return holdsA < holdsB
+	}
+	return a.customer < b.customer
+}
+
+func (f *flow) setLimits(limits model.Limits) {
+	weight := float64(max(1, limits.Weight))
+	if len(f.queue) > 0 {
+		f.lane.weight += weight - f.weight
+	}
+	f.weight = weight
+	if f.lane.class == model.Short {
+		f.guaranteed = limits.Guaranteed / millislotsPerSlot
+	}
+}
+
+// push adds a ticket to its customer's flow and returns the flow.
+func (l *lane) push(ticket Ticket, limits model.Limits) *flow {
+	owner := l.flow(ticket.Customer, limits)
+	owner.queue = append(owner.queue, ticket)
+	l.waiting++
+	if len(owner.queue) == 1 {
+		l.weight += owner.weight
+	}
+	l.place(owner)
+	return owner
+}
+
+// next returns the flow whose first ticket comes up, or nil when none waits.
+func (l *lane) next() *flow {
+	if _, first, found := l.reserved.Least(); found {
+		return first
+	}
+	_, first, _ := l.borrowing.Least()
+	return first
+}
+
+// pop takes the first ticket of a waiting flow.
+func (l *lane) pop(owner *flow) Ticket {
+	ticket := owner.queue[0]
+	l.take(owner, 0)
+	return ticket
+}
+
+// remove takes out one ticket of a waiting flow.
+func (l *lane) remove(owner *flow, id uint64) {
+	i := slices.IndexFunc(owner.queue, func(t Ticket) bool { return t.ID == id })
+	l.take(owner, i)
+}
+
+func (l *lane) take(owner *flow, i int) {
+	owner.queue = slices.Delete(owner.queue, i, i+1)
+	l.waiting--
+	if len(owner.queue) == 0 {
+		owner.queue = nil
+		l.weight -= owner.weight
+	}
+	l.place(owner)
+}
+
+// start charges a flow for a ticket that takes a slot.
+func (l *lane) start(ticket Ticket, limits model.Limits, estimate time.Duration) charge {
+	owner := l.flow(ticket.Customer, limits)
+	if owner.mean.mean != 0 {
+		estimate = owner.mean.average()
+	}
+	cost := max(minCharge, estimate).Seconds() / owner.weight
+	l.advance(owner.tag)
+	owner.tag += cost
+	owner.running++
+	l.place(owner)
+	return charge{flow: owner, virtual: cost}
+}
+
+// settle ends a ticket and corrects its charge to the time that it held a slot.
+func (l *lane) settle(paid charge, held time.Duration) {
+	owner := paid.flow
+	owner.mean.add(held)
+	owner.tag += max(minCharge, held).Seconds()/owner.weight - paid.virtual
+	l.end(owner)
+}
+
+// end gives up one slot of a flow.
+func (l *lane) end(owner *flow) {
+	owner.running--
+	l.place(owner)
+}
+
+// advance moves the virtual time to the tag of a ticket that starts, but never past a waiting flow.
+func (l *lane) advance(tag float64) {
+	for _, waiting := range []*heap.Heap[model.Customer, *flow]{l.reserved, l.borrowing} {
+		if _, first, found := waiting.Least(); found {
+			tag = min(tag, first.tag)
+		}
+	}
+	if tag <= l.virtual {
+		return
+	}
+	l.virtual = tag
+	for {
+		customer, first, found := l.indebted.Least()
+		if !found || first.tag > l.virtual {
+			return
+		}
+		l.indebted.Remove(customer)
+		delete(l.flows, customer)
+	}
+}
+
+// flow returns the customer's flow. One that was not waiting joins at the virtual time, or at its own tag
+// when it owes.
+func (l *lane) flow(customer model.Customer, limits model.Limits) *flow {
+	owner, found := l.flows[customer]
+	if !found {
+		owner = &flow{customer: customer, lane: l, weight: 1}
+		l.flows[customer] = owner
+	}
+	owner.setLimits(limits)
+	owner.tag = max(owner.tag, l.virtual)
+	return owner
+}
+
+// place puts a flow into the heap that its state asks for, and drops it when nothing is left to know of it.
+func (l *lane) place(owner *flow) {
+	owner.tag = max(owner.tag, l.virtual)
+	l.reserved.Remove(owner.customer)
+	l.borrowing.Remove(owner.customer)
+	l.indebted.Remove(owner.customer)
+	switch {
+	case len(owner.queue) > 0 && owner.running < owner.guaranteed:
+		l.reserved.Set(owner.customer, owner)
+	case len(owner.queue) > 0:
+		l.borrowing.Set(owner.customer, owner)
+	case owner.running == 0 && l.waiting > 0 && owner.tag > l.virtual:
+		l.indebted.Set(owner.customer, owner)
+	case owner.running == 0:
+		delete(l.flows, owner.customer)
+	}
+	if l.waiting == 0 {
+		l.forgive()
+	}
+}
+
+// forgive drops all debts once the backlog is over, since then nobody has to wait for their sake.
+func (l *lane) forgive() {
+	for {
+		customer, _, found := l.indebted.Least()
+		if !found {
+			break
+		}
+		l.indebted.Remove(customer)
+		delete(l.flows, customer)
+	}
+	if len(l.flows) == 0 {
+		l.virtual = 0
+	}
+}
+
+// ahead estimates the slot time that starts before one more ticket of the customer.
+func (l *lane) ahead(ticket Ticket, limits model.Limits, each time.Duration) time.Duration {
+	weight := float64(max(1, limits.Weight))
+	others := l.weight
+	tag := l.virtual
+	queued := 0
+	if owner, found := l.flows[ticket.Customer]; found {
+		tag = max(tag, owner.tag)
+		queued = len(owner.queue)
+	}
+	if queued > 0 {
+		others -= weight
+	}
+	own := time.Duration(queued) * each
+	shared := time.Duration((tag - l.virtual + own.Seconds()/weight) * others * float64(time.Second))
+	return min(own+max(0, shared), time.Duration(l.waiting)*each)
+}
