--- a/core/query/limits/limits.go
+++ b/core/query/limits/limits.go
@@ -1,4 +1,13 @@
 // Package limits derives every limit of a customer from the contracts in force.
+//
+// The invariants, each held by a property test:
+//   - The guarantees at a gate sum to at most the slots that long work may not take.
+//   - A larger weight never lowers a guarantee of its own customer.
+//   - A further standard customer of weight w, beside weights that sum to W, scales each other guarantee by
+//     W/(W+w); nothing else of the others changes. A further background customer changes nothing.
+//   - Limits depend on the set of contracts and not on their order.
+//   - Every customer has a weight and a queue of at least 1. A standard customer whose guarantee rounds
+//     down to 0 thousandths of a slot still gets its share of slot time from the gate's queue.
 package limits
 
 import (
@@ -8,43 +17,73 @@
 )
 
 const (
-	millislotsPerSlot   = 1000
-	queuePerSlot        = 4
-	retryPercent        = 10
-	longSlotsShare      = 3
+	// millislotsPerSlot converts slots to the unit of guarantees.
+	millislotsPerSlot = 1000
+	// longSlotsDivisor is the share of the slots that long work may hold: one in so many.
+	longSlotsDivisor = 3
+	// standardQueuePerSlot and backgroundQueuePerSlot bound a customer's waiting requests for each slot.
+	standardQueuePerSlot   = 16
+	backgroundQueuePerSlot = 4
+	// standardRetryPercent and backgroundRetryPercent bound retries as a share of first attempts.
+	standardRetryPercent   = 10
+	backgroundRetryPercent = 5
+	// defaultServiceSlots stands in for a service that has not been published yet.
 	defaultServiceSlots = 10
 )
 
 // Of returns the limits at one gate with the given slots for each customer in contracts.
 func Of(contracts map[model.Customer]model.Contract, slots int) map[model.Customer]model.Limits {
+	gate := inputsOf(contracts, slots)
+	limits := make(map[model.Customer]model.Limits, len(contracts))
+	for customer, contract := range contracts {
+		limits[customer] = one(contract, gate)
+	}
+	return limits
+}
+
+// inputs are what the limits of each customer at one gate have in common.
+type inputs struct {
+	// slots is at least 1.
+	slots int
+	// longSlots is how many of them long work may hold; at least 1.
+	longSlots int
+	// totalWeight sums the weights of the standard contracts.
+	totalWeight int
+}
+
+func inputsOf(contracts map[model.Customer]model.Contract, slots int) inputs {
 	if slots < 1 {
 		slots = defaultServiceSlots
 	}
 	total := 0
 	for _, contract := range contracts {
 		if contract.Tier == model.Standard {
-			total += contract.Weight
+			total += weightOf(contract)
 		}
 	}
-	limits := make(map[model.Customer]model.Limits, len(contracts))
-	for customer, contract := range contracts {
-		limits[customer] = one(contract, total, slots)
-	}
-	return limits
+	return inputs{slots: slots, longSlots: max(1, slots/longSlotsDivisor), totalWeight: total}
 }
 
-func one(contract model.Contract, totalWeight, slots int) model.Limits {
-	guaranteed := 0
-	if contract.Tier == model.Standard {
-		guaranteed = contract.Weight * slots * millislotsPerSlot / totalWeight
+// guaranteedSlots returns the slots that are shared out: long work never takes them.
+func (in inputs) guaranteedSlots() int { return in.slots - in.longSlots }
+
+func one(contract model.Contract, in inputs) model.Limits {
+	limits := model.Limits{
+		Weight:   weightOf(contract),
+		Deadline: time.Duration(contract.DeadlineMs) * time.Millisecond,
+		Longest:  time.Duration(contract.LongestMs) * time.Millisecond,
 	}
-	return model.Limits{
-		Guaranteed:   guaranteed,
-		Weight:       max(1, contract.Weight),
-		Queue:        max(1, slots*queuePerSlot),
-		LongSlots:    max(1, slots/longSlotsShare),
-		RetryPercent: retryPercent,
-		Deadline:     time.Duration(contract.DeadlineMs) * time.Millisecond,
-		Longest:      time.Duration(contract.LongestMs) * time.Millisecond,
+	if contract.Tier == model.Background {
+		limits.Queue = in.slots * backgroundQueuePerSlot
+		limits.LongSlots = max(1, in.longSlots-1)
+		limits.RetryPercent = backgroundRetryPercent
+		return limits
 	}
+	limits.Guaranteed = limits.Weight * in.guaranteedSlots() * millislotsPerSlot / in.totalWeight
+	limits.Queue = in.slots * standardQueuePerSlot
+	limits.LongSlots = in.longSlots
+	limits.RetryPercent = standardRetryPercent
+	return limits
 }
+
+func weightOf(contract model.Contract) int { return max(1, contract.Weight) }
