Hold the gate to its promises by properties under random sessions

A replay runs sessions through a gate and a model of its upstream in virtual time. Ruled out: shares by virtual time alone. Without the reserve for customers below their guarantee, the returning customer was seen holding 0 of 1 guaranteed slots while others borrowed.

--- /dev/null
+++ b/core/command/admit/replay_test.go
@@ -0,0 +1,204 @@
+package admit_test
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"comfreytack/core/command/admit"
+	"comfreytack/core/model"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for _, setting := range []struct{ name, value string }{
+		{name: "rapid.seed", value: "1"},
+		{name: "rapid.nofailfile", value: "true"},
+	} {
+		if err := flag.Set(setting.name, setting.value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1000, 0)
+
+// job is one request of a replayed session. Its ticket's ID is its place in the session, from 1.
+type job struct {
+	at       time.Duration
+	customer model.Customer
+	tier     model.Tier
+	class    model.Class
+	// service is how long the job runs on an upstream of full speed.
+	service time.Duration
+	// deadline counts from the arrival.
+	deadline time.Duration
+
+	decision admit.Decision
+	started  time.Duration
+	ended    time.Duration
+	left     float64
+}
+
+func (j *job) ran() bool { return j.ended > 0 }
+
+func (j *job) inTime() bool { return j.ran() && j.ended <= j.at+j.deadline }
+
+// replay runs a session through a gate and a model of its upstream, in virtual time.
+type replay[D admit.Discipline] struct {
+	gate *admit.Gate[D]
+	jobs []*job
+	// speed is the upstream's speed for each of n jobs in flight; it changes only at the times in edges.
+	speed func(now time.Duration, n int) float64
+	edges []time.Duration
+	// finished is called after each job that ended.
+	finished func(j *job)
+
+	// logging fills log with one line for each event and each decision.
+	logging bool
+	log     strings.Builder
+
+	now     time.Duration
+	running []uint64
+}
+
+func newReplay[D admit.Discipline](gate *admit.Gate[D], jobs []*job) *replay[D] {
+	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(a.at, b.at) })
+	return &replay[D]{
+		gate:     gate,
+		jobs:     jobs,
+		speed:    func(time.Duration, int) float64 { return 1 },
+		finished: func(*job) {},
+	}
+}
+
+func (r *replay[D]) time() time.Time { return epoch.Add(r.now) }
+
+func (r *replay[D]) job(id uint64) *job { return r.jobs[id-1] }
+
+// run replays the whole session and returns the log of its decisions.
+func (r *replay[D]) run() string {
+	next := 0
+	for {
+		at, done := r.firstToEnd()
+		if next < len(r.jobs) && (done == 0 || r.jobs[next].at < at) {
+			at = r.jobs[next].at
+			done = 0
+		}
+		if deadline, found := r.gate.NextDeadline(); found && deadline.Sub(epoch) < at {
+			r.elapse(deadline.Sub(epoch))
+			r.apply(r.gate.Expire(r.time()))
+			continue
+		}
+		if len(r.edges) > 0 && r.edges[0] <= at {
+			r.elapse(r.edges[0])
+			r.edges = r.edges[1:]
+			continue
+		}
+		if done == 0 && next == len(r.jobs) {
+			return r.log.String()
+		}
+		r.elapse(at)
+		if done != 0 {
+			r.end(done)
+			continue
+		}
+		next++
+		r.arrive(uint64(next))
+	}
+}
+
+func (r *replay[D]) arrive(id uint64) {
+	j := r.job(id)
+	j.left = j.service.Seconds()
+	r.note("arrive %d %s %s %s", id, j.customer, j.tier, j.class)
+	r.apply([]admit.Decision{r.gate.Arrive(r.time(), r.ticket(id))})
+}
+
+func (r *replay[D]) ticket(id uint64) admit.Ticket {
+	j := r.job(id)
+	return admit.Ticket{
+		ID:        id,
+		Customer:  j.customer,
+		Tier:      j.tier,
+		Class:     j.class,
+		ArrivedAt: epoch.Add(j.at),
+		Deadline:  epoch.Add(j.at + j.deadline),
+	}
+}
+
+func (r *replay[D]) end(id uint64) {
+	j := r.job(id)
+	j.ended = r.now
+	r.running = slices.DeleteFunc(r.running, func(other uint64) bool { return other == id })
+	r.note("finish %d %s", id, j.customer)
+	r.apply(r.gate.Finish(r.time(), id))
+	r.finished(j)
+}
+
+func (r *replay[D]) apply(decisions []admit.Decision) {
+	for _, d := range decisions {
+		j := r.job(d.Ticket)
+		j.decision = d
+		switch d.Action {
+		case admit.Start:
+			j.started = r.now
+			r.running = append(r.running, d.Ticket)
+			r.note("  start %d %s, waited %s", d.Ticket, j.customer, r.now-j.at)
+		case admit.Wait:
+			r.note("  wait %d %s", d.Ticket, j.customer)
+		case admit.Refuse:
+			r.note("  refuse %d %s: %s, retry after %s", d.Ticket, j.customer, d.Reason, d.RetryAfter.Round(10*time.Microsecond))
+		}
+	}
+}
+
+// firstToEnd returns when the next running job ends at the present speed, and which; 0 when none runs.
+func (r *replay[D]) firstToEnd() (time.Duration, uint64) {
+	first := uint64(0)
+	for _, id := range r.running {
+		if first == 0 || r.job(id).left < r.job(first).left {
+			first = id
+		}
+	}
+	if first == 0 {
+		return 1 << 62, 0
+	}
+	left := max(0, r.job(first).left/r.speed(r.now, len(r.running)))
+	return r.now + time.Duration(left*float64(time.Second)+1), first
+}
+
+// elapse moves the time on and lets the running jobs advance.
+func (r *replay[D]) elapse(now time.Duration) {
+	done := (now - r.now).Seconds() * r.speed(r.now, len(r.running))
+	for _, id := range r.running {
+		r.job(id).left -= done
+	}
+	r.now = now
+}
+
+func (r *replay[D]) note(format string, args ...any) {
+	if !r.logging {
+		return
+	}
+	fmt.Fprintf(&r.log, "%9.3fms ", r.now.Seconds()*1000)
+	fmt.Fprintf(&r.log, format, args...)
+	r.log.WriteByte('\n')
+}
+
+// contracts returns limits for standard customers of the given weights at a gate.
+func contracts(weights map[model.Customer]int) map[model.Customer]model.Contract {
+	made := map[model.Customer]model.Contract{}
+	for customer, weight := range weights {
+		made[customer] = model.Contract{Customer: customer, Weight: weight, DeadlineMs: 2000, LongestMs: 60000}
+	}
+	return made
+}
