--- /dev/null
+++ b/cftlab/stub/model.go
@@ -0,0 +1,106 @@
+// Package stub is a fake upstream: it answers requests after a given time and can be made to fail.
+//
+// commands.go changes the switches, queries.go reads state and serve.go serves traffic.
+package stub
+
+import (
+	"time"
+
+	"github.com/samber/mo"
+)
+
+// Settings has what does not change during the life of an upstream.
+type Settings struct {
+	// Name is unique in the fleet.
+	Name string
+	// Slots is how many requests are worked on at once; positive.
+	Slots int
+	// Waiting bounds the requests that wait for a slot; more are shed.
+	Waiting int
+	// Work is how long a request takes when it does not say.
+	Work time.Duration
+	// Routes maps path prefixes to other default work times.
+	Routes map[string]time.Duration
+	// Probe is how long an answer to a health probe takes.
+	Probe time.Duration
+	// Now reads the clock.
+	Now func() time.Time
+	// Exit ends the process; called for a request that crashes the upstream.
+	Exit func(code int)
+}
+
+// Switches are the faults that are on. They are replaced whole, never written to.
+type Switches struct {
+	// Draining is told to health probes; requests are still served.
+	Draining bool `json:"draining"`
+	// ColdUntil ends a cold start, during which work takes ColdFactor times as long.
+	ColdUntil time.Time `json:"cold_until"`
+	// Shed refuses every request with 503 before it runs.
+	Shed bool `json:"shed"`
+	// FailFast answers every request with 500 at once.
+	FailFast bool `json:"fail_fast"`
+	// SlowFactor multiplies work times; at least 1.
+	SlowFactor float64 `json:"slow_factor"`
+	// ReportInFlight replaces the load that health probes are told.
+	ReportInFlight mo.Option[int] `json:"report_in_flight"`
+	// ReportLag makes health probes tell the load of that long ago.
+	ReportLag time.Duration `json:"report_lag"`
+}
+
+// Change is the body of POST /control. Fields that are absent stay as they are.
+type Change struct {
+	// Drain sets Switches.Draining.
+	Drain mo.Option[bool] `json:"drain"`
+	// ColdMs starts a cold start of that many milliseconds.
+	ColdMs mo.Option[int] `json:"cold_ms"`
+	// Shed sets Switches.Shed.
+	Shed mo.Option[bool] `json:"shed"`
+	// FailFast sets Switches.FailFast.
+	FailFast mo.Option[bool] `json:"fail_fast"`
+	// SlowFactor sets Switches.SlowFactor.
+	SlowFactor mo.Option[float64] `json:"slow_factor"`
+	// ReportInFlight sets Switches.ReportInFlight; a negative number ends the lie.
+	ReportInFlight mo.Option[int] `json:"report_in_flight"`
+	// ReportLagMs sets Switches.ReportLag.
+	ReportLagMs mo.Option[int] `json:"report_lag_ms"`
+	// TruncateNext breaks off that many of the next answers.
+	TruncateNext mo.Option[int] `json:"truncate_next"`
+	// NeighbourMs takes half of the slots for that many milliseconds.
+	NeighbourMs mo.Option[int] `json:"neighbour_ms"`
+}
+
+// Run is one execution of a request.
+type Run struct {
+	// Upstream ran the request.
+	Upstream string `json:"upstream"`
+	// ID, Key and Customer are the request's headers; Key is empty when it had none.
+	ID       string `json:"id"`
+	Key      string `json:"key,omitempty"`
+	Customer string `json:"customer"`
+	// Method and Path are as the upstream saw them.
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// Started is when the work began, and Finished when its answer was ready; zero while it runs.
+	Started  time.Time `json:"started"`
+	Finished time.Time `json:"finished,omitzero"`
+}
+
+// Answer is the first line of a response; Length bytes of payload follow it.
+type Answer struct {
+	// Upstream, ID and Key say which request is answered, and by whom.
+	Upstream string `json:"upstream"`
+	ID       string `json:"id"`
+	Key      string `json:"key,omitempty"`
+	// BodySum is the checksum of the request body that was received.
+	BodySum uint64 `json:"body_sum"`
+	// Length and Sum are the size in bytes and the checksum of the payload.
+	Length int    `json:"length"`
+	Sum    uint64 `json:"sum"`
+}
+
+// Health is the answer to a probe.
+type Health struct {
+	Draining bool `json:"draining"`
+	InFlight int  `json:"in_flight"`
+	Slots    int  `json:"slots"`
+}
