--- /dev/null
+++ b/cftlab/loader/model.go
@@ -0,0 +1,97 @@
+// Package loader sends open-loop load and checks each answer against its request.
+//
+// Arrivals are a Poisson process that does not slow down when answers are late; latencies count from the
+// intended send time. plan.go and schedule.go compute, send.go sends and check.go judges answers.
+package loader
+
+import (
+	"time"
+
+	"comfreytack/core/model"
+)
+
+// Plan is a mixed load.
+type Plan struct {
+	// Streams are sent at the same time.
+	Streams []Stream `json:"streams"`
+}
+
+// Stream is the load of one customer on one route.
+type Stream struct {
+	// Customer and Service are as in the contracts and services of the platform.
+	Customer model.Customer    `json:"customer"`
+	Service  model.ServiceName `json:"service"`
+	// Method is an HTTP method; GET when empty.
+	Method string `json:"method"`
+	// Path starts with a slash and does not name the service.
+	Path string `json:"path"`
+	// Class only labels the rows of the result.
+	Class model.Class `json:"class"`
+	// Idempotent requests may run more than once.
+	Idempotent bool `json:"idempotent"`
+	// Rate is the mean number of requests per second until the first step.
+	Rate float64 `json:"rate"`
+	// Steps change the rate; ordered by AtMs.
+	Steps []Step `json:"steps,omitempty"`
+	// DeadlineMs is sent with each request; positive.
+	DeadlineMs int `json:"deadline_ms"`
+	// WorkUs is the work of a request at the upstream, in microseconds.
+	WorkUs int `json:"work_us"`
+	// Spread draws the work of each request from an exponential distribution with mean WorkUs.
+	Spread bool `json:"spread"`
+	// Size is the size of an answer's payload, in bytes.
+	Size int `json:"size"`
+	// Body is sent with each request; "{id}" becomes the id of its first send.
+	Body string `json:"body,omitempty"`
+	// Keyed requests carry an idempotency key, where the daemons issue keys.
+	Keyed bool `json:"keyed"`
+	// Resend is how often a keyed request is sent again when its verdict is not ran.
+	Resend int `json:"resend"`
+	// Direct requests go to an upstream itself; their answers have no verdict.
+	Direct bool `json:"direct"`
+}
+
+// Step changes the rate of a stream.
+type Step struct {
+	// AtMs is the time since the start, in milliseconds.
+	AtMs int `json:"at_ms"`
+	// Rate is the mean number of requests per second from then on.
+	Rate float64 `json:"rate"`
+}
+
+// Record is what became of one send.
+type Record struct {
+	// ID is unique for each send; Key is the same for all sends of a keyed request.
+	ID  string `json:"id"`
+	Key string `json:"key,omitempty"`
+	// Customer, Class and Idempotent are those of the stream.
+	Customer   model.Customer `json:"customer"`
+	Class      model.Class    `json:"class"`
+	Idempotent bool           `json:"idempotent"`
+	// Intended is the planned send time since the start.
+	Intended time.Duration `json:"intended_ns"`
+	// Late is how long after Intended the request was really sent.
+	Late time.Duration `json:"late_ns"`
+	// Latency is from Intended to the last byte of the answer.
+	Latency time.Duration `json:"latency_ns"`
+	// Deadline is how long the caller was willing to wait.
+	Deadline time.Duration `json:"deadline_ns"`
+	// Verdict is MayHaveRun when the caller was told nothing.
+	Verdict model.Verdict `json:"verdict"`
+	// Reason is the daemon's, or NoVerdict.
+	Reason string `json:"reason"`
+	// Status is the HTTP status; zero when there was no whole answer.
+	Status int `json:"status"`
+	// Wrong says that the answer was whole and is not the answer to this request.
+	Wrong bool `json:"wrong"`
+	// Error is the error of the caller's HTTP client, if any.
+	Error string `json:"error,omitempty"`
+}
+
+// NoVerdict is the reason of a record whose answer named none.
+const NoVerdict = "no_verdict"
+
+// Served says that the caller got the whole answer of a successful run.
+func (r Record) Served() bool {
+	return r.Verdict == model.Ran && r.Status >= 200 && r.Status < 400 && !r.Wrong
+}
--- /dev/null
+++ b/cftlab/tally/tally.go
@@ -0,0 +1,202 @@
+// Package tally counts what callers were told against what upstreams really ran. It only reads.
+package tally
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"comfreytack/cftlab/loader"
+	"comfreytack/cftlab/stub"
+	"comfreytack/core/model"
+)
+
+// Row sums up the sends of one customer and class.
+type Row struct {
+	Customer model.Customer `json:"customer"`
+	Class    model.Class    `json:"class"`
+	// Sent is the sum of Served, Failed, Wrong, NotRun and MayHaveRun.
+	Sent int `json:"sent"`
+	// Served counts whole answers of successful runs; InTime those within the deadline.
+	Served int `json:"served"`
+	InTime int `json:"in_time"`
+	// Failed counts runs that ended in an HTTP error.
+	Failed int `json:"failed"`
+	// Wrong counts answers that belong to no or another request.
+	Wrong      int `json:"wrong"`
+	NotRun     int `json:"not_run"`
+	MayHaveRun int `json:"may_have_run"`
+	// P50, P99 and P999 are latencies of served requests from the intended send time, in milliseconds.
+	P50  float64 `json:"p50_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	// LateP99 is how late requests were really sent, in milliseconds: the error of the measurement.
+	LateP99 float64 `json:"late_p99_ms"`
+	// Reasons counts the reasons of sends that were not served.
+	Reasons map[string]int `json:"reasons"`
+}
+
+type group struct {
+	customer model.Customer
+	class    model.Class
+}
+
+// Rows returns one row for each customer and class, ordered by customer.
+func Rows(records []loader.Record) []Row {
+	grouped := map[group][]loader.Record{}
+	for _, record := range records {
+		key := group{customer: record.Customer, class: record.Class}
+		grouped[key] = append(grouped[key], record)
+	}
+	rows := []Row{}
+	for key, some := range grouped {
+		row := Sum(some)
+		row.Customer, row.Class = key.customer, key.class
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Class, b.Class))
+	})
+	return rows
+}
+
+// Sum returns one row over all records, without a customer.
+func Sum(records []loader.Record) Row {
+	row := Row{Reasons: map[string]int{}}
+	latency, late := newHistogram(), newHistogram()
+	for _, record := range records {
+		row.Sent++
+		observe(late, record.Late)
+		row.count(record)
+		if record.Served() {
+			observe(latency, record.Latency)
+		} else {
+			row.Reasons[record.Reason]++
+		}
+	}
+	row.P50, row.P99, row.P999 = quantile(latency, 50), quantile(latency, 99), quantile(latency, 99.9)
+	row.LateP99 = quantile(late, 99)
+	return row
+}
+
+func (r *Row) count(record loader.Record) {
+	switch {
+	case record.Verdict == model.NotRun:
+		r.NotRun++
+	case record.Verdict == model.MayHaveRun:
+		r.MayHaveRun++
+	case record.Wrong:
+		r.Wrong++
+	case !record.Served():
+		r.Failed++
+	default:
+		r.Served++
+		if record.Latency <= record.Deadline {
+			r.InTime++
+		}
+	}
+}
+
+const (
+	longestLatency     = 10 * time.Minute
+	significantFigures = 3
+)
+
+// newHistogram returns a histogram of microseconds.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestLatency.Microseconds(), significantFigures)
+}
+
+func observe(histogram *hdrhistogram.Histogram, span time.Duration) {
+	us := min(max(1, span.Microseconds()), longestLatency.Microseconds())
+	_ = histogram.RecordValue(us) // the value is within the range of the histogram
+}
+
+func quantile(histogram *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(histogram.ValueAtQuantile(percent)) / 1000
+}
+
+// Totals is what a whole run of load comes to.
+type Totals struct {
+	Sent       int `json:"sent"`
+	Served     int `json:"served"`
+	NotRun     int `json:"not_run"`
+	MayHaveRun int `json:"may_have_run"`
+	// WrongAnswer counts answers that belong to no or another request, and answers without a run.
+	WrongAnswer int `json:"wrong_answer"`
+	// RanTwice counts non-idempotent requests, by key where they have one, that ran more than once.
+	RanTwice int `json:"ran_twice"`
+	// FalseNotRun counts sends whose verdict was not_run and that ran.
+	FalseNotRun int `json:"false_not_run"`
+	// Stray counts runs whose id nobody sent.
+	Stray int `json:"stray"`
+	// KeyNotRun counts sends with the verdict not_run whose key ran in another send.
+	KeyNotRun int `json:"key_not_run"`
+}
+
+// Broken says whether a promise was broken.
+func (t Totals) Broken() bool {
+	return t.WrongAnswer+t.RanTwice+t.FalseNotRun+t.Stray > 0
+}
+
+// Count compares the records of callers with the runs of upstreams.
+func Count(records []loader.Record, runs []stub.Run) Totals {
+	byID := map[string]loader.Record{}
+	for _, record := range records {
+		byID[record.ID] = record
+	}
+	ranIDs := map[string]int{}
+	ranUnits := map[string]int{}
+	totals := Totals{}
+	for _, run := range runs {
+		record, known := byID[run.ID]
+		if !known {
+			totals.Stray++
+			continue
+		}
+		ranIDs[run.ID]++
+		ranUnits[unit(record)]++
+		if !record.Idempotent && ranUnits[unit(record)] == 2 {
+			totals.RanTwice++
+		}
+	}
+	for _, record := range records {
+		totals.add(record, ranIDs[record.ID], ranUnits[unit(record)])
+	}
+	return totals
+}
+
+// add counts one send, given how often its id and its key ran.
+func (t *Totals) add(record loader.Record, ranID, ranUnit int) {
+	t.Sent++
+	switch record.Verdict {
+	case model.NotRun:
+		t.NotRun++
+	case model.MayHaveRun:
+		t.MayHaveRun++
+	}
+	if record.Served() {
+		t.Served++
+	}
+	if record.Wrong || (record.Served() && ranUnit == 0) {
+		t.WrongAnswer++
+	}
+	if record.Verdict != model.NotRun {
+		return
+	}
+	if ranID > 0 {
+		t.FalseNotRun++
+	} else if ranUnit > 0 {
+		t.KeyNotRun++
+	}
+}
+
+// unit is what must not run twice: the key of a record, or its id when it has none.
+func unit(record loader.Record) string {
+	if record.Key != "" {
+		return "key " + record.Key
+	}
+	return "id " + record.ID
+}
