Serve a call end to end: caller, entry, gate, upstream

Cause: the parts need one whole path in the agreed shape to grow on. Chosen: core/traffic holds what traffic goroutines share, free of encodings (hold: waiting for a slot; send: attempts); cftd has one folder per stage (entry, gate, relay, oper, start). Trip counts the bytes written on its connection, so that not_run is said only when none of the request left. Ruled out: trusting httptrace.GotConn alone, which would report may_have_run for every idle connection that the upstream had closed. Not yet: peers, own feed module (a plain poll stands in), fairness, retry budget, idempotency keys. Checked: make check, with two daemons in one test process.

--- /dev/null
+++ b/cftd/entry/call.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"comfreytack/cftd/relay"
+	"comfreytack/core/model"
+	"comfreytack/core/wire"
+)
+
+const servicePrefix = "/svc/"
+
+// idempotentMethods may run more than once by their definition in HTTP.
+var idempotentMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace}
+
+// readCall works out what the caller asks and under which contract. Failures have verdict NotRun.
+func readCall(r *http.Request, snapshot *model.Snapshot, body *relay.Body, now time.Time) (model.Call, *model.Failure) {
+	service, path := serviceOf(r)
+	call := model.Call{
+		ID:       r.Header.Get(wire.HeaderRequestID),
+		Customer: model.Customer(r.Header.Get(wire.HeaderCustomer)),
+		Service:  service,
+		Method:   r.Method,
+		Path:     path,
+	}
+	if call.ID == "" {
+		call.ID = uuid.NewString()
+	}
+	if !snapshot.Ready {
+		return call, refuse(model.NotReady)
+	}
+	limits, known := snapshot.Limits[call.Customer]
+	if !known {
+		return call, refuse(model.NoContract)
+	}
+	published, known := snapshot.Services[service]
+	if !known {
+		return call, refuse(model.NoService)
+	}
+	call.Class, call.Idempotent = classify(published.Routes, r.Method, path)
+	call.Fingerprint = body.Fingerprint(call.Customer, r.Method, path+"?"+r.URL.RawQuery)
+	return call, setDeadline(&call, r.Header, limits, now)
+}
+
+// serviceOf splits "/svc/reservas/holds" into "reservas" and "/holds"; other paths go by the Host header.
+func serviceOf(r *http.Request) (model.ServiceName, string) {
+	rest, named := strings.CutPrefix(r.URL.Path, servicePrefix)
+	if !named {
+		host, _, _ := strings.Cut(r.Host, ":")
+		return model.ServiceName(host), r.URL.Path
+	}
+	service, path, _ := strings.Cut(rest, "/")
+	return model.ServiceName(service), "/" + path
+}
+
+// classify finds the first route that matches. Requests without one are short.
+func classify(routes []model.Route, method, path string) (model.Class, bool) {
+	idempotent := slices.Contains(idempotentMethods, method)
+	for _, route := range routes {
+		if (route.Method == "" || route.Method == method) && strings.HasPrefix(path, route.PathPrefix) {
+			return route.Class, idempotent || route.Idempotent
+		}
+	}
+	return model.Short, idempotent
+}
+
+// setDeadline takes the shorter of what the caller asks and what the contract allows.
+func setDeadline(call *model.Call, header http.Header, limits model.Limits, now time.Time) *model.Failure {
+	allowed := limits.Deadline
+	if call.Class == model.Long {
+		allowed = limits.Longest
+	}
+	asked, err := wire.TakeDeadline(header)
+	if err != nil {
+		return refuse(model.BadRequest)
+	}
+	if header.Get(wire.HeaderDeadlineMs) != "" {
+		allowed = min(allowed, asked)
+	}
+	call.Deadline = now.Add(allowed)
+	return nil
+}
+
+func refuse(reason model.Reason) *model.Failure {
+	return &model.Failure{Verdict: model.NotRun, Reason: reason}
+}
--- /dev/null
+++ b/cftd/entry/carry.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"comfreytack/cftd/relay"
+	"comfreytack/core/model"
+	"comfreytack/core/wire"
+)
+
+// LocalGate runs calls on the upstream beside this daemon.
+type LocalGate interface {
+	Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure)
+	Report() model.GateReport
+}
+
+// carrier takes attempts of one call to gates.
+type carrier struct {
+	entry  *Entry
+	call   model.Call
+	header http.Header
+	target *url.URL
+	host   string
+	body   *relay.Body
+}
+
+// Again implements send.Carrier.
+func (c *carrier) Again() bool {
+	return c.body.Again()
+}
+
+// Attempt implements send.Carrier.
+func (c *carrier) Attempt(ctx context.Context, call model.Call, upstream model.Upstream) (*http.Response, *model.GateReport, *model.Failure) {
+	request := relay.Request{
+		Address: upstream.Gate,
+		Method:  call.Method,
+		Target:  c.target,
+		Host:    c.host,
+		Header:  c.header.Clone(),
+		Body:    c.body,
+	}
+	if upstream.Name == c.entry.settings.Self.Name {
+		answer, failure := c.entry.settings.Local.Run(ctx, call, request)
+		report := c.entry.settings.Local.Report()
+		return answer, &report, failure
+	}
+	return c.remote(ctx, call, request)
+}
+
+func (c *carrier) remote(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.GateReport, *model.Failure) {
+	wire.PutCall(request.Header, call, c.entry.settings.Now())
+	request.AskFirst = c.body.Rest != nil
+	answer, failure := relay.Trip(ctx, c.entry.settings.Transport, request, model.GateLost)
+	if failure != nil {
+		return nil, nil, failure
+	}
+	report, known := wire.TakeReport(answer.Header)
+	failure = wire.TakeFailure(answer.Header)
+	if failure != nil {
+		_ = answer.Body.Close()
+		answer = nil
+	} else {
+		wire.DropOwn(answer.Header)
+	}
+	if !known {
+		return answer, nil, failure
+	}
+	return answer, &report, failure
+}
--- /dev/null
+++ b/cftd/gate/serve.go
@@ -0,0 +1,47 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+
+	"comfreytack/cftd/relay"
+	"comfreytack/core/command/admit"
+	"comfreytack/core/model"
+	"comfreytack/core/wire"
+)
+
+// Handler takes calls from other daemons' entries.
+func Handler[D admit.Discipline](g *Gate[D]) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		now := g.settings.Now()
+		call, err := wire.TakeCall(r, now)
+		if failure, bad := err.(*model.Failure); bad {
+			relay.WriteFailure(w, failure)
+			return
+		}
+		ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+		defer cancel()
+		serve(ctx, w, r, g, call)
+	})
+}
+
+func serve[D admit.Discipline](ctx context.Context, w http.ResponseWriter, r *http.Request, g *Gate[D], call model.Call) {
+	body, err := relay.StreamBody(r)
+	if err != nil {
+		relay.WriteFailure(w, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err})
+		return
+	}
+	request := relay.Request{Method: r.Method, Target: r.URL, Host: r.Host, Header: http.Header{}, Body: body}
+	relay.CopyHeader(request.Header, r.Header)
+	answer, failure := g.Run(ctx, call, request)
+	wire.PutReport(w.Header(), g.Report())
+	if failure != nil {
+		relay.WriteFailure(w, failure)
+		return
+	}
+	w.Header().Set(wire.HeaderVerdict, model.Ran.String())
+	w.Header().Set(wire.HeaderReason, model.NoReason.String())
+	if broken := relay.WriteAnswer(w, answer); broken != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/cftd/main.go
+++ b/cftd/main.go
@@ -1,4 +1,12 @@
-// Command cftd is described in README.md.
+// Command cftd is the daemon beside an upstream: entry for callers and gate for its upstream.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"comfreytack/cftd/start"
+)
+
+func main() {
+	os.Exit(start.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cftd/meter/meter.go
@@ -0,0 +1,64 @@
+// Package meter holds the daemon's metrics.
+package meter
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"comfreytack/core/model"
+)
+
+// callBuckets are upper bounds in seconds, from a short lookup to a settlement.
+var callBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 60}
+
+// Meter has one field for each family of metrics.
+type Meter struct {
+	// Registry gathers every family below.
+	Registry *prometheus.Registry
+	// Calls is the time from a call's arrival at the entry to the end of its answer, in seconds.
+	Calls *prometheus.HistogramVec
+	// Waits is the time that a request waited at the gate, in seconds.
+	Waits *prometheus.HistogramVec
+	// Failures counts what callers were told other than an answer.
+	Failures *prometheus.CounterVec
+	// Attempts counts what the entry sent to gates.
+	Attempts *prometheus.CounterVec
+}
+
+// New returns a meter whose families are registered.
+func New() *Meter {
+	m := &Meter{
+		Registry: prometheus.NewRegistry(),
+		Calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "comfreytack_call_seconds", Help: "Time from arrival at the entry to the end of the answer.", Buckets: callBuckets,
+		}, []string{"customer", "class"}),
+		Waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "comfreytack_gate_wait_seconds", Help: "Time that a request waited for a slot of the gate.", Buckets: callBuckets,
+		}, []string{"customer", "class"}),
+		Failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreytack_failures_total", Help: "Calls that ended without an answer.",
+		}, []string{"customer", "class", "verdict", "reason"}),
+		Attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreytack_attempts_total", Help: "Attempts sent to gates, by service.",
+		}, []string{"service"}),
+	}
+	m.Registry.MustRegister(m.Calls, m.Waits, m.Failures, m.Attempts,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Call records the end of a call at the entry. The failure is nil for an answer.
+func (m *Meter) Call(call model.Call, took time.Duration, failure *model.Failure) {
+	class := call.Class.String()
+	m.Calls.WithLabelValues(string(call.Customer), class).Observe(took.Seconds())
+	if failure != nil {
+		m.Failures.WithLabelValues(string(call.Customer), class, failure.Verdict.String(), failure.Reason.String()).Inc()
+	}
+}
+
+// Wait records how long a request waited at the gate.
+func (m *Meter) Wait(call model.Call, waited time.Duration) {
+	m.Waits.WithLabelValues(string(call.Customer), call.Class.String()).Observe(waited.Seconds())
+}
--- /dev/null
+++ b/cftd/oper/oper.go
@@ -0,0 +1,47 @@
+// Package oper serves the operators' port.
+package oper
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"comfreytack/cftd/meter"
+	"comfreytack/core/model"
+	"comfreytack/core/query/status"
+)
+
+// Settings has the explicit dependencies of the operators' port.
+type Settings struct {
+	// Snapshot returns the control state.
+	Snapshot func() *model.Snapshot
+	// Report describes the gate's load.
+	Report func() model.GateReport
+	// Meter has the metrics to serve.
+	Meter *meter.Meter
+	// Version is the program's version.
+	Version string
+}
+
+// Handler serves /metrics, /status and /ready.
+func Handler(settings Settings) http.Handler {
+	router := chi.NewRouter()
+	router.Handle("/metrics", promhttp.HandlerFor(settings.Meter.Registry, promhttp.HandlerOpts{}))
+	router.Get("/status", func(w http.ResponseWriter, _ *http.Request) {
+		view := status.Of(settings.Snapshot(), settings.Report(), settings.Version)
+		w.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(view)
+	})
+	router.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		ready, why := status.Ready(settings.Snapshot())
+		if !ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		_, _ = w.Write([]byte(why + "\n"))
+	})
+	return router
+}
--- /dev/null
+++ b/cftd/relay/trip.go
@@ -0,0 +1,128 @@
+// Package relay carries requests and answers over HTTP without deciding anything.
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"comfreytack/core/model"
+)
+
+const (
+	dialTimeout       = 250 * time.Millisecond
+	idleConnTimeout   = 60 * time.Second
+	continueTimeout   = time.Second
+	maxAnswerHeader   = 1 << 20
+	connWriteBuffer   = 16 << 10
+	connReadBuffer    = 16 << 10
+	maxIdlePerAddress = 64
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// NewTransport returns a transport that holds at most the given number of connections to one address.
+func NewTransport(connections int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:            dialCounting(dialer),
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    min(connections, maxIdlePerAddress),
+		IdleConnTimeout:        idleConnTimeout,
+		ExpectContinueTimeout:  continueTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+		WriteBufferSize:        connWriteBuffer,
+		ReadBufferSize:         connReadBuffer,
+	}
+}
+
+// Request is what one attempt sends.
+type Request struct {
+	// Address is where it goes.
+	Address model.Address
+	// Method, Target and Host come from the caller; Target is the path with its query.
+	Method string
+	Target *url.URL
+	Host   string
+	// Header is sent as it is; it belongs to this attempt.
+	Header http.Header
+	// Body is the caller's body.
+	Body *Body
+	// AskFirst holds a body that can be sent only once back until the receiver asks for it.
+	AskFirst bool
+}
+
+// Trip sends one request. On failure the verdict is NotRun only if no byte of it was written.
+func Trip(ctx context.Context, transport *http.Transport, request Request, lost model.Reason) (*http.Response, *model.Failure) {
+	var sent progress
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { sent.obtained(info.Conn) },
+	})
+	outgoing := outgoingRequest(request).WithContext(ctx)
+	answer, err := transport.RoundTrip(outgoing)
+	if err == nil {
+		return answer, nil
+	}
+	return nil, tripFailure(ctx, err, sent.wrote(), lost)
+}
+
+func outgoingRequest(request Request) *http.Request {
+	if request.AskFirst {
+		request.Header.Set("Expect", "100-continue")
+	}
+	return &http.Request{
+		Method: request.Method,
+		URL: &url.URL{
+			Scheme:   "http",
+			Host:     string(request.Address),
+			Path:     request.Target.Path,
+			RawPath:  request.Target.RawPath,
+			RawQuery: request.Target.RawQuery,
+		},
+		Host:          request.Host,
+		Header:        request.Header,
+		Body:          request.Body.Open(),
+		ContentLength: request.Body.Length,
+	}
+}
+
+// CopyHeader adds the end-to-end headers of source to target.
+func CopyHeader(target, source http.Header) {
+	for name, values := range source {
+		target[name] = append(target[name], values...)
+	}
+	for _, listed := range source.Values("Connection") {
+		for _, name := range splitList(listed) {
+			target.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		target.Del(name)
+	}
+}
+
+func tripFailure(ctx context.Context, err error, wrote bool, lost model.Reason) *model.Failure {
+	failure := &model.Failure{Verdict: model.MayHaveRun, Reason: lost, Cause: err}
+	switch ctx.Err() {
+	case context.DeadlineExceeded:
+		failure.Reason = model.DeadlinePassed
+	case context.Canceled:
+		failure.Reason = model.CallerGone
+	}
+	if wrote {
+		return failure
+	}
+	failure.Verdict = model.NotRun
+	if ctx.Err() == nil {
+		failure.Reason = model.UpstreamDown
+	}
+	return failure
+}
--- /dev/null
+++ b/cftd/start/build.go
@@ -0,0 +1,128 @@
+package start
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreytack/cftd/entry"
+	"comfreytack/cftd/gate"
+	"comfreytack/cftd/meter"
+	"comfreytack/cftd/oper"
+	"comfreytack/cftd/relay"
+	"comfreytack/core/command/admit"
+	"comfreytack/core/command/daemon"
+	"comfreytack/core/command/load"
+	"comfreytack/core/loop"
+	"comfreytack/core/model"
+	"comfreytack/core/query/route"
+	"comfreytack/core/setup"
+	"comfreytack/core/traffic/hold"
+	"comfreytack/core/traffic/send"
+)
+
+const (
+	beatInterval        = 50 * time.Millisecond
+	pauseLimit          = time.Second
+	eventBacklog        = 4096
+	reportLifetime      = 200 * time.Millisecond
+	upstreamConnections = 200
+	gateConnections     = 64
+	firstSlots          = 10
+)
+
+// parts are the running pieces of a daemon.
+type parts struct {
+	callers   http.Handler
+	gate      http.Handler
+	operators http.Handler
+	control   func(context.Context)
+	stop      func()
+}
+
+// plan is what every part is built from.
+type plan struct {
+	settings setup.Settings
+	options  Options
+	log      *slog.Logger
+	self     model.Upstream
+	control  *loop.Loop[daemon.Event, daemon.Effect]
+	meter    *meter.Meter
+}
+
+func build(settings setup.Settings, options Options, log *slog.Logger) (*parts, error) {
+	self := selfOf(settings, time.Now())
+	state := daemon.New(self)
+	control := loop.New(loop.Settings{Beat: beatInterval, Backlog: eventBacklog, Now: time.Now}, state, func(daemon.Effect) {})
+	p := plan{settings: settings, options: options, log: log, self: self, control: control, meter: meter.New()}
+	switch options.Discipline {
+	case "fifo":
+		return buildGate(p, admit.NewFIFO())
+	}
+	return nil, errors.Errorf("unknown discipline %q", options.Discipline)
+}
+
+// selfOf describes this daemon. Its incarnation is its start time, so that later lives compare greater.
+func selfOf(settings setup.Settings, started time.Time) model.Upstream {
+	return model.Upstream{
+		Name:          settings.Name,
+		Incarnation:   model.Incarnation(started.UnixMilli()),
+		Service:       settings.Service,
+		Region:        settings.Region,
+		FailureDomain: settings.FailureDomain,
+		Gate:          settings.Gate,
+		Peer:          settings.Peer,
+	}
+}
+
+func buildGate[D admit.Discipline](p plan, discipline D) (*parts, error) {
+	local := gate.New(gate.Settings{
+		Upstream:  p.settings.Upstream,
+		Transport: relay.NewTransport(upstreamConnections),
+		Snapshot:  p.control.Snapshot,
+		Now:       time.Now,
+		Meter:     p.meter,
+	}, hold.New(hold.Settings{
+		Snapshot:   p.control.Snapshot,
+		Now:        time.Now,
+		PauseLimit: pauseLimit,
+	}, admit.New(firstSlots, discipline)))
+	sending, err := buildSend(p)
+	if err != nil {
+		return nil, err
+	}
+	front := entry.New(entry.Settings{
+		Self:      p.self,
+		Local:     local,
+		Transport: relay.NewTransport(gateConnections),
+		Snapshot:  p.control.Snapshot,
+		Now:       time.Now,
+		Send:      sending,
+		Meter:     p.meter,
+	})
+	return &parts{
+		callers:   front.Handler(),
+		gate:      gate.Handler(local),
+		operators: oper.Handler(oper.Settings{Snapshot: p.control.Snapshot, Report: local.Report, Meter: p.meter, Version: Version}),
+		control:   func(ctx context.Context) { runControl(ctx, p) },
+		stop:      func() { p.control.Post(daemon.StopAsked{}) },
+	}, nil
+}
+
+func buildSend(p plan) (entry.Send, error) {
+	switch p.options.Policy {
+	case "two_choices":
+		return sendBy(p, route.TwoChoices{ReportLifetime: reportLifetime}), nil
+	}
+	return nil, errors.Errorf("unknown policy %q", p.options.Policy)
+}
+
+func sendBy[P route.Policy](p plan, policy P) entry.Send {
+	sender := send.New(p.control.Snapshot, time.Now, route.New(policy), load.New())
+	return func(ctx context.Context, call model.Call, carrier send.Carrier[*http.Response]) (*http.Response, *model.Failure) {
+		return send.Send(ctx, sender, call, carrier)
+	}
+}
--- /dev/null
+++ b/cftd/start/main.go
@@ -0,0 +1,80 @@
+// Package start is the entry function of the daemon: command line, settings, logs and wiring.
+package start
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"comfreytack/core/setup"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Options are the command line.
+type Options struct {
+	Settings   string `long:"settings" short:"s" value-name:"FILE" description:"JSON settings of this daemon"`
+	Check      bool   `long:"check" description:"Check the settings, print the result and exit"`
+	Version    bool   `long:"version" description:"Print the version and exit"`
+	Policy     string `long:"policy" hidden:"true" default:"two_choices" description:"Routing policy, for measurements"`
+	Discipline string `long:"discipline" hidden:"true" default:"fifo" description:"Order of the gate's queue, for measurements"`
+}
+
+// Main runs the daemon and returns its exit code: 0 after a clean stop, 1 when it could not run,
+// 2 when the command line or the settings were refused.
+func Main(args []string, out, errs io.Writer) int {
+	var options Options
+	parser := flags.NewParser(&options, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "cftd"
+	parser.LongDescription = "Takes calls for services, and guards the upstream beside it. Example: cftd --settings reservas-1.json"
+	if _, err := parser.ParseArgs(args); err != nil {
+		if flags.WroteHelp(err) {
+			fmt.Fprintln(out, err)
+			return exitOK
+		}
+		fmt.Fprintf(errs, "cftd: %v; see cftd --help\n", err)
+		return exitSettings
+	}
+	if options.Version {
+		fmt.Fprintln(out, "cftd "+Version)
+		return exitOK
+	}
+	return run(options, out, errs)
+}
+
+func run(options Options, out, errs io.Writer) int {
+	if options.Settings == "" {
+		fmt.Fprintln(errs, "cftd: no settings; name the file with --settings FILE")
+		return exitSettings
+	}
+	settings, err := setup.Read(options.Settings)
+	if err != nil {
+		fmt.Fprintf(errs, "cftd: %v\n", err)
+		return exitSettings
+	}
+	if options.Check {
+		fmt.Fprintf(out, "%s: settings of %s are good\n", options.Settings, settings.Name)
+		return exitOK
+	}
+	log := newLog(settings.Log, errs)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := serve(ctx, settings, options, log); err != nil {
+		log.Error("stopped", "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cftd/start/path_test.go
@@ -0,0 +1,175 @@
+package start
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"comfreytack/core/model"
+	"comfreytack/core/setup"
+	"comfreytack/core/wire"
+)
+
+const readyTimeout = 10 * time.Second
+
+// fleet is a few daemons in this process, with stand-ins for platform and upstreams.
+type fleet struct {
+	daemons  []setup.Settings
+	upstream *httptest.Server
+}
+
+func TestPathOfACall(t *testing.T) {
+	f := startFleet(t, 2)
+	tests := []struct {
+		name        string
+		method      string
+		path        string
+		customer    string
+		body        string
+		wantStatus  int
+		wantVerdict string
+		wantReason  string
+		wantBody    string
+	}{
+		{"lookup", "GET", "/svc/reservas/beds?near=quito", "police", "", 200, "ran", "none", "GET /beds?near=quito police "},
+		{"hold", "POST", "/svc/reservas/holds", "police", "bed 7", 200, "ran", "none", "POST /holds police bed 7"},
+		{"no contract", "GET", "/svc/reservas/beds", "nobody", "", 403, "not_run", "no_contract", ""},
+		{"no service", "GET", "/svc/laundry/beds", "police", "", 404, "not_run", "no_service", ""},
+		{"large body", "POST", "/svc/reservas/holds", "police", strings.Repeat("x", 200_000), 200, "ran", "none", "POST /holds police " + strings.Repeat("x", 200_000)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, settings := range f.daemons {
+				request, err := http.NewRequest(test.method, "http://"+string(settings.Callers)+test.path, strings.NewReader(test.body))
+				qt.Assert(t, err, qt.IsNil)
+				request.Header.Set(wire.HeaderCustomer, test.customer)
+				answer, err := http.DefaultClient.Do(request)
+				qt.Assert(t, err, qt.IsNil)
+				body, err := io.ReadAll(answer.Body)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, answer.Body.Close(), qt.IsNil)
+				qt.Check(t, answer.StatusCode, qt.Equals, test.wantStatus)
+				qt.Check(t, answer.Header.Get(wire.HeaderVerdict), qt.Equals, test.wantVerdict)
+				qt.Check(t, answer.Header.Get(wire.HeaderReason), qt.Equals, test.wantReason)
+				if test.wantBody != "" {
+					qt.Check(t, string(body), qt.Equals, test.wantBody)
+				}
+			}
+		})
+	}
+}
+
+// startFleet starts daemons of one service that share one upstream stand-in, and waits until all are ready.
+func startFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{upstream: httptest.NewServer(http.HandlerFunc(echo))}
+	t.Cleanup(f.upstream.Close)
+	service := model.Service{Name: "reservas", Slots: 10, Connections: 250}
+	for i := range size {
+		settings := setup.Settings{
+			Name:          model.UpstreamName(fmt.Sprintf("reservas-%d", i+1)),
+			Service:       "reservas",
+			FailureDomain: "quito-sur",
+			Callers:       freeAddress(t),
+			Gate:          freeAddress(t),
+			Peer:          freeAddress(t),
+			Operators:     freeAddress(t),
+			Upstream:      model.Address(strings.TrimPrefix(f.upstream.URL, "http://")),
+			StopMs:        1000,
+		}
+		f.daemons = append(f.daemons, settings)
+		service.Upstreams = append(service.Upstreams, model.Upstream{
+			Name: settings.Name, Service: "reservas", FailureDomain: "quito-sur", Gate: settings.Gate, Peer: settings.Peer, Incarnation: 1,
+		})
+	}
+	platform := httptest.NewServer(platformOf(t, service))
+	t.Cleanup(platform.Close)
+	for i := range f.daemons {
+		f.daemons[i].Platform = []model.Address{model.Address(strings.TrimPrefix(platform.URL, "http://"))}
+		startDaemon(t, f.daemons[i])
+	}
+	return f
+}
+
+func startDaemon(t *testing.T, settings setup.Settings) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	options := Options{Policy: "two_choices", Discipline: "fifo"}
+	go func() { done <- serve(ctx, settings, options, slog.New(slog.DiscardHandler)) }()
+	t.Cleanup(func() {
+		stop()
+		qt.Check(t, <-done, qt.IsNil)
+	})
+	waitReady(t, settings)
+}
+
+func waitReady(t *testing.T, settings setup.Settings) {
+	t.Helper()
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		answer, err := http.Get("http://" + string(settings.Operators) + "/ready")
+		if err == nil {
+			_ = answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("%s is not ready", settings.Name)
+}
+
+// echo answers with what it was sent, so that a test can tell its own answer.
+func echo(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		_, _ = io.WriteString(w, `{"draining":false,"in_flight":0,"slots":10}`)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "%s %s %s %s", r.Method, r.URL, r.Header.Get(wire.HeaderCustomer), body)
+}
+
+func platformOf(t *testing.T, service model.Service) http.Handler {
+	t.Helper()
+	type change struct {
+		Key      string         `json:"key"`
+		Revision model.Revision `json:"revision"`
+		Value    any            `json:"value"`
+	}
+	document, err := json.Marshal(map[string]any{"revision": 2, "changes": []change{
+		{"contracts/police", 1, model.Contract{Customer: "police", Weight: 10, DeadlineMs: 2000, LongestMs: 20000}},
+		{"services/reservas", 2, service},
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("after") == "2" {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(200 * time.Millisecond):
+			}
+			_, _ = io.WriteString(w, `{"revision":2,"changes":[]}`)
+			return
+		}
+		_, _ = w.Write(document)
+	})
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) model.Address {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer listener.Close()
+	return model.Address(listener.Addr().String())
+}
--- /dev/null
+++ b/cftd/start/serve.go
@@ -0,0 +1,95 @@
+package start
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"comfreytack/core/setup"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	operatorsStop     = time.Second
+)
+
+// serve runs the daemon until ctx ends, then finishes what is in flight.
+func serve(ctx context.Context, settings setup.Settings, options Options, log *slog.Logger) error {
+	parts, err := build(settings, options, log)
+	if err != nil {
+		return err
+	}
+	listeners, err := listen(settings)
+	if err != nil {
+		return err
+	}
+	control, stopControl := context.WithCancel(context.Background())
+	defer stopControl()
+	var running errgroup.Group
+	running.Go(func() error { parts.control(control); return nil })
+	servers := []*http.Server{newServer(parts.callers), newServer(parts.gate), newServer(parts.operators)}
+	for i, server := range servers {
+		running.Go(func() error { return ignoreClosed(server.Serve(listeners[i])) })
+	}
+	log.Info("started", "name", settings.Name, "service", settings.Service, "callers", settings.Callers, "version", Version)
+	<-ctx.Done()
+	log.Info("stopping", "name", settings.Name)
+	parts.stop()
+	err = shutDown(servers, time.Duration(settings.StopMs)*time.Millisecond)
+	stopControl()
+	if waitErr := running.Wait(); err == nil {
+		err = waitErr
+	}
+	log.Info("stopped", "name", settings.Name)
+	return err
+}
+
+// shutDown lets callers' and peers' calls finish first; the operators' port is the last to close.
+func shutDown(servers []*http.Server, longest time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), longest)
+	defer cancel()
+	var closing errgroup.Group
+	for _, server := range servers[:2] {
+		closing.Go(func() error { return server.Shutdown(ctx) })
+	}
+	err := closing.Wait()
+	last, cancelLast := context.WithTimeout(context.Background(), operatorsStop)
+	defer cancelLast()
+	_ = servers[2].Shutdown(last)
+	return errors.Wrap(err, "work in flight outlasted stop_ms")
+}
+
+func listen(settings setup.Settings) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range []string{string(settings.Callers), string(settings.Gate), string(settings.Operators)} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/core/setup/setup.go
@@ -0,0 +1,177 @@
+// Package setup reads and checks the settings file of a daemon.
+package setup
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"comfreytack/core/model"
+	"comfreytack/core/strict"
+)
+
+const (
+	defaultStopMs = 30_000
+	maxStopMs     = 3_600_000
+)
+
+// Settings is what one daemon is told at its start. Nothing in it tunes a limit of a customer.
+type Settings struct {
+	// Name is the upstream's name in the instance list; not empty.
+	Name model.UpstreamName `json:"name"`
+	// Service is the service that the upstream runs; not empty.
+	Service model.ServiceName `json:"service"`
+	// Region and FailureDomain say where the server stands; FailureDomain is not empty.
+	Region        model.Region        `json:"region,omitempty"`
+	FailureDomain model.FailureDomain `json:"failure_domain"`
+	// Callers, Gate, Peer and Operators are IP addresses and ports to listen on; all different.
+	Callers   model.Address `json:"callers"`
+	Gate      model.Address `json:"gate"`
+	Peer      model.Address `json:"peer"`
+	Operators model.Address `json:"operators"`
+	// Upstream is the address of the upstream beside the daemon.
+	Upstream model.Address `json:"upstream"`
+	// Platform has the addresses of the configuration service; at least one.
+	Platform []model.Address `json:"platform"`
+	// Seeds are peer addresses to ask first; may be empty for the first daemon of a deployment.
+	Seeds []model.Address `json:"seeds,omitempty"`
+	// Calls names the services that callers of this daemon use; its own is always included.
+	Calls []model.ServiceName `json:"calls,omitempty"`
+	// StopMs is the longest wait for work in flight after a stop signal; from 0 to 3600000, in ms.
+	StopMs int `json:"stop_ms,omitempty"`
+	// Log says how logs are written.
+	Log Log `json:"log,omitempty"`
+}
+
+// Log says how logs are written.
+type Log struct {
+	// Format is "text" or "json"; empty means text.
+	Format string `json:"format,omitempty"`
+	// Level is "debug", "info", "warn" or "error"; empty means info.
+	Level string `json:"level,omitempty"`
+}
+
+// Read reads the file and checks every value. The error is a *strict.Fault.
+func Read(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, &strict.Fault{File: file, Found: err.Error(), Allowed: "a readable JSON file"}
+	}
+	return Parse(file, data)
+}
+
+// Parse checks data as if it had been read from file.
+func Parse(file string, data []byte) (Settings, error) {
+	settings := Settings{StopMs: defaultStopMs}
+	if err := strict.Decode(file, data, &settings); err != nil {
+		return Settings{}, err
+	}
+	for _, check := range []func(Settings) (field, found, allowed string){
+		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLog,
+	} {
+		if field, found, allowed := check(settings); field != "" {
+			return Settings{}, strict.At(file, data, field, found, allowed)
+		}
+	}
+	return settings, nil
+}
+
+func checkNames(s Settings) (field, found, allowed string) {
+	switch {
+	case s.Name == "":
+		return "name", "nothing", "the upstream's name in the instance list"
+	case s.Service == "":
+		return "service", "nothing", "the name of the upstream's service"
+	case s.FailureDomain == "":
+		return "failure_domain", "nothing", "the failure domain of this server"
+	}
+	return "", "", ""
+}
+
+func checkListeners(s Settings) (field, found, allowed string) {
+	seen := map[model.Address]string{}
+	for _, listener := range []struct {
+		field   string
+		address model.Address
+	}{
+		{"callers", s.Callers},
+		{"gate", s.Gate},
+		{"peer", s.Peer},
+		{"operators", s.Operators},
+		{"upstream", s.Upstream},
+	} {
+		if found, allowed := checkAddress(listener.address); found != "" {
+			return listener.field, found, allowed
+		}
+		if other, twice := seen[listener.address]; twice {
+			return listener.field, fmt.Sprintf("%q, which is also %s", listener.address, other), "an address of its own"
+		}
+		seen[listener.address] = listener.field
+	}
+	return "", "", ""
+}
+
+func checkTargets(s Settings) (field, found, allowed string) {
+	if len(s.Platform) == 0 {
+		return "platform", "no address", "at least one address of the configuration service"
+	}
+	for _, list := range []struct {
+		field     string
+		addresses []model.Address
+	}{
+		{"platform", s.Platform},
+		{"seeds", s.Seeds},
+	} {
+		for i, address := range list.addresses {
+			if found, allowed := checkAddress(address); found != "" {
+				return fmt.Sprintf("%s.%d", list.field, i), found, allowed
+			}
+		}
+	}
+	return "", "", ""
+}
+
+func checkCalls(s Settings) (field, found, allowed string) {
+	seen := map[model.ServiceName]bool{}
+	for i, service := range s.Calls {
+		if service == "" || seen[service] {
+			return fmt.Sprintf("calls.%d", i), strconv.Quote(string(service)), "each service once"
+		}
+		seen[service] = true
+	}
+	return "", "", ""
+}
+
+func checkStop(s Settings) (field, found, allowed string) {
+	if s.StopMs < 0 || s.StopMs > maxStopMs {
+		return "stop_ms", strconv.Itoa(s.StopMs), fmt.Sprintf("0 to %d milliseconds", maxStopMs)
+	}
+	return "", "", ""
+}
+
+func checkLog(s Settings) (field, found, allowed string) {
+	switch s.Log.Format {
+	case "", "text", "json":
+	default:
+		return "log.format", strconv.Quote(s.Log.Format), "text, json"
+	}
+	switch s.Log.Level {
+	case "", "debug", "info", "warn", "error":
+	default:
+		return "log.level", strconv.Quote(s.Log.Level), "debug, info, warn, error"
+	}
+	return "", "", ""
+}
+
+func checkAddress(address model.Address) (found, allowed string) {
+	const form = "an IP address and a port from 1 to 65535, such as 127.0.0.1:7101"
+	if address == "" {
+		return "nothing", form
+	}
+	parsed, err := netip.ParseAddrPort(string(address))
+	if err != nil || parsed.Port() == 0 {
+		return strconv.Quote(string(address)), form
+	}
+	return "", ""
+}
--- /dev/null
+++ b/core/strict/strict.go
@@ -0,0 +1,109 @@
+// Package strict decodes JSON and says where in the file a fault stands.
+package strict
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/pkg/errors"
+)
+
+// Fault is one thing wrong in a file.
+type Fault struct {
+	// File is the file's name as the user gave it.
+	File string
+	// Line starts at 1; zero when the whole file is meant.
+	Line int
+	// Field is the path of the field, for example "log.level"; empty for the whole file.
+	Field string
+	// Found says what stands there; Allowed what may stand there.
+	Found   string
+	Allowed string
+}
+
+// Error renders the fault on one line, for example
+//
+//	quito.json:7: log.level: found "loud"; allowed: debug, info, warn, error
+func (f *Fault) Error() string {
+	var text strings.Builder
+	text.WriteString(f.File)
+	if f.Line > 0 {
+		fmt.Fprintf(&text, ":%d", f.Line)
+	}
+	if f.Field != "" {
+		text.WriteString(": " + f.Field)
+	}
+	text.WriteString(": found " + f.Found)
+	if f.Allowed != "" {
+		text.WriteString("; allowed: " + f.Allowed)
+	}
+	return text.String()
+}
+
+// Decode reads one JSON value into target. Unknown and duplicate fields are faults.
+func Decode(file string, data []byte, target any) error {
+	err := json.Unmarshal(data, target, json.RejectUnknownMembers(true))
+	if err == nil {
+		return nil
+	}
+	var semantic *json.SemanticError
+	if errors.As(err, &semantic) {
+		return semanticFault(file, data, semantic)
+	}
+	var syntactic *jsontext.SyntacticError
+	if errors.As(err, &syntactic) {
+		return &Fault{
+			File:    file,
+			Line:    lineAt(data, syntactic.ByteOffset),
+			Field:   fieldOf(syntactic.JSONPointer),
+			Found:   syntactic.Err.Error(),
+			Allowed: "JSON with each name once",
+		}
+	}
+	return &Fault{File: file, Found: err.Error()}
+}
+
+// At builds a fault for the field with the given path, for example "log.level".
+func At(file string, data []byte, field, found, allowed string) *Fault {
+	return &Fault{File: file, Line: LineOf(data, field), Field: field, Found: found, Allowed: allowed}
+}
+
+// LineOf returns the line on which the field with the given path stands, or 1 when it is absent.
+func LineOf(data []byte, field string) int {
+	want := "/" + strings.ReplaceAll(field, ".", "/")
+	decoder := jsontext.NewDecoder(bytes.NewReader(data))
+	for {
+		if _, err := decoder.ReadToken(); err != nil {
+			return 1
+		}
+		if string(decoder.StackPointer()) == want {
+			return lineAt(data, decoder.InputOffset())
+		}
+	}
+}
+
+func semanticFault(file string, data []byte, err *json.SemanticError) *Fault {
+	fault := &Fault{File: file, Line: lineAt(data, err.ByteOffset), Field: fieldOf(err.JSONPointer)}
+	switch {
+	case errors.Is(err.Err, json.ErrUnknownName):
+		fault.Found = "an unknown field"
+		fault.Allowed = "the fields that the documentation lists"
+	case err.Err != nil:
+		fault.Found = err.Err.Error()
+	default:
+		fault.Found = "a JSON " + err.JSONKind.String()
+		fault.Allowed = err.GoType.String()
+	}
+	return fault
+}
+
+func fieldOf(pointer jsontext.Pointer) string {
+	return strings.ReplaceAll(strings.TrimPrefix(string(pointer), "/"), "/", ".")
+}
+
+func lineAt(data []byte, offset int64) int {
+	return 1 + bytes.Count(data[:min(int(offset), len(data))], []byte("\n"))
+}
--- /dev/null
+++ b/core/traffic/hold/hold.go
@@ -0,0 +1,178 @@
+// Package hold lets traffic goroutines wait for a slot of a gate.
+package hold
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"comfreytack/core/command/admit"
+	"comfreytack/core/model"
+)
+
+// Settings has the explicit dependencies of a gate.
+type Settings struct {
+	// Snapshot returns the control state.
+	Snapshot func() *model.Snapshot
+	// Now reads the clock, with its monotonic part.
+	Now func() time.Time
+	// PauseLimit is the age of a snapshot that shows that this process was paused; positive.
+	PauseLimit time.Duration
+}
+
+// Gate guards an admit.Gate for many goroutines.
+type Gate[D admit.Discipline] struct {
+	settings Settings
+
+	mu      sync.Mutex
+	gate    *admit.Gate[D]
+	applied model.Revision
+	nextID  uint64
+	waiting map[uint64]chan admit.Decision
+}
+
+// Slot is held by one running request.
+type Slot struct {
+	// Waited is how long the request was queued.
+	Waited time.Duration
+	// Release frees the slot. It may be called more than once.
+	Release func()
+}
+
+// New returns a gate without waiting requests.
+func New[D admit.Discipline](settings Settings, gate *admit.Gate[D]) *Gate[D] {
+	return &Gate[D]{settings: settings, gate: gate, waiting: map[uint64]chan admit.Decision{}}
+}
+
+// Enter waits for a slot. The failure's verdict is always NotRun: the request has not started.
+func (g *Gate[D]) Enter(ctx context.Context, call model.Call) (Slot, *model.Failure) {
+	arrived := g.settings.Now()
+	if failure := refuseAtDoor(g.settings.Snapshot()); failure != nil {
+		return Slot{}, failure
+	}
+	id, decision, wake := g.arrive(arrived, call)
+	if decision.Action == admit.Wait {
+		decision = g.wait(ctx, id, wake)
+	}
+	if decision.Action == admit.Refuse {
+		return Slot{}, refused(decision)
+	}
+	if failure := g.recheck(ctx, call); failure != nil {
+		g.finish(id)
+		return Slot{}, failure
+	}
+	release := sync.OnceFunc(func() { g.finish(id) })
+	return Slot{Waited: g.settings.Now().Sub(arrived), Release: release}, nil
+}
+
+// Report describes the gate's load to other daemons.
+func (g *Gate[D]) Report() model.GateReport {
+	snapshot := g.settings.Snapshot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	report := g.gate.Report()
+	report.Upstream = snapshot.Self.Name
+	report.Incarnation = snapshot.Self.Incarnation
+	report.Leaving = leaving(snapshot)
+	report.Revision = snapshot.Revision
+	return report
+}
+
+func (g *Gate[D]) arrive(now time.Time, call model.Call) (uint64, admit.Decision, chan admit.Decision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.applyLimits()
+	g.nextID++
+	ticket := admit.Ticket{
+		ID:        g.nextID,
+		Customer:  call.Customer,
+		Class:     call.Class,
+		ArrivedAt: now,
+		Deadline:  call.Deadline,
+	}
+	decision := g.gate.Arrive(now, ticket)
+	if decision.Action != admit.Wait {
+		return ticket.ID, decision, nil
+	}
+	// One decision follows for each waiting ticket, so a buffer of one never blocks the sender.
+	wake := make(chan admit.Decision, 1)
+	g.waiting[ticket.ID] = wake
+	return ticket.ID, decision, wake
+}
+
+func (g *Gate[D]) wait(ctx context.Context, id uint64, wake chan admit.Decision) admit.Decision {
+	select {
+	case decision := <-wake:
+		return decision
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	removed := g.gate.Cancel(id)
+	delete(g.waiting, id)
+	g.mu.Unlock()
+	if removed {
+		return admit.Decision{Ticket: id, Action: admit.Refuse, Reason: endReason(ctx, model.TooLate)}
+	}
+	return <-wake
+}
+
+// recheck repeats the checks after the wait: the daemon may have been paused between the decision and now.
+func (g *Gate[D]) recheck(ctx context.Context, call model.Call) *model.Failure {
+	now := g.settings.Now()
+	snapshot := g.settings.Snapshot()
+	switch {
+	case ctx.Err() != nil:
+		return &model.Failure{Verdict: model.NotRun, Reason: endReason(ctx, model.TooLate)}
+	case !call.Deadline.After(now):
+		return &model.Failure{Verdict: model.NotRun, Reason: model.TooLate}
+	case snapshot.Suspect || now.Sub(snapshot.BeatAt) > g.settings.PauseLimit:
+		return &model.Failure{Verdict: model.NotRun, Reason: model.DaemonPaused}
+	}
+	return nil
+}
+
+func (g *Gate[D]) finish(id uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, decision := range g.gate.Finish(g.settings.Now(), id) {
+		g.waiting[decision.Ticket] <- decision
+		delete(g.waiting, decision.Ticket)
+	}
+}
+
+func (g *Gate[D]) applyLimits() {
+	snapshot := g.settings.Snapshot()
+	if snapshot.Revision == g.applied {
+		return
+	}
+	g.applied = snapshot.Revision
+	slots := snapshot.Services[snapshot.Self.Service].Slots
+	g.gate.SetLimits(max(1, slots), snapshot.Limits)
+}
+
+func refuseAtDoor(snapshot *model.Snapshot) *model.Failure {
+	switch {
+	case !snapshot.Ready:
+		return &model.Failure{Verdict: model.NotRun, Reason: model.NotReady}
+	case snapshot.Stopping:
+		return &model.Failure{Verdict: model.NotRun, Reason: model.Stopping}
+	case leaving(snapshot):
+		return &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamLeaving}
+	}
+	return nil
+}
+
+func leaving(snapshot *model.Snapshot) bool {
+	return snapshot.Stopping || snapshot.Leaving.Contains(snapshot.Self.Name)
+}
+
+func refused(decision admit.Decision) *model.Failure {
+	return &model.Failure{Verdict: model.NotRun, Reason: decision.Reason, RetryAfter: decision.RetryAfter}
+}
+
+func endReason(ctx context.Context, late model.Reason) model.Reason {
+	if ctx.Err() == context.Canceled {
+		return model.CallerGone
+	}
+	return late
+}
