Bound the load book and weigh routing by expected time

Cause: the book grew with every upstream ever named, one mutex guarded all of it, and the policy counted requests without the time that each takes, so a slow or a quickly failing upstream looked as good as any.

Ended takes the Call that Began returned, so the count in flight stays exact across incarnations. Policies by name are in route.Policies.

Ruled out: keying Ended by name, which counts a call to an earlier incarnation against the later one.

--- /dev/null
+++ b/core/command/load/load_test.go
@@ -0,0 +1,208 @@
+package load_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"comfreytack/core/command/load"
+	"comfreytack/core/model"
+	"comfreytack/core/query/route"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const service = model.ServiceName("reservas")
+
+var start = time.Unix(1000, 0)
+
+func fleet(n int) []model.Upstream {
+	upstreams := make([]model.Upstream, 0, n)
+	for i := range n {
+		upstreams = append(upstreams, model.Upstream{
+			Name:          model.UpstreamName(fmt.Sprintf("reservas-%d", i)),
+			Incarnation:   1,
+			Service:       service,
+			FailureDomain: model.FailureDomain(fmt.Sprintf("domain-%d", i%4)),
+		})
+	}
+	return upstreams
+}
+
+func newBook() *load.Book {
+	return load.New(model.Upstream{Name: "self", FailureDomain: "domain-0"}, load.DefaultSettings())
+}
+
+func find(candidates []route.Candidate, name model.UpstreamName) route.Candidate {
+	for _, c := range candidates {
+		if c.Upstream.Name == name {
+			return c
+		}
+	}
+	return route.Candidate{}
+}
+
+// TestBookIsExactAndBounded begins, ends and reports calls while the instance list changes.
+func TestBookIsExactAndBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book := newBook()
+		all := fleet(40)
+		list := all
+		now := start
+		var open []load.Call
+		counts := map[model.UpstreamName]int{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Millisecond)
+			candidates := book.Candidates(now, service, list, nil)
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0, 1:
+				chosen := rapid.SampledFrom(candidates).Draw(t, "upstream").Upstream.Name
+				open = append(open, book.Began(chosen))
+				counts[chosen]++
+			case 2:
+				if len(open) > 0 {
+					at := rapid.IntRange(0, len(open)-1).Draw(t, "call")
+					book.Ended(now, open[at], load.Outcome{Result: load.Result(at % 4)})
+					counts[open[at].Upstream]--
+					open = append(open[:at], open[at+1:]...)
+				}
+			case 3:
+				from := rapid.IntRange(0, 20).Draw(t, "from")
+				list = all[from : from+rapid.IntRange(1, 20).Draw(t, "length")]
+			}
+			if book.Size() > 2*load.DefaultSettings().SubsetSize+len(open) {
+				t.Fatalf("%d entries with %d calls open", book.Size(), len(open))
+			}
+			for _, c := range book.Candidates(now, service, list, nil) {
+				if c.InFlight != counts[c.Upstream.Name] {
+					t.Fatalf("%s: %d in flight, want %d", c.Upstream.Name, c.InFlight, counts[c.Upstream.Name])
+				}
+			}
+		}
+	})
+}
+
+func TestBookEvidence(t *testing.T) {
+	fail := load.Outcome{Result: load.Failed}
+	answer := load.Outcome{Result: load.Answered, Latency: 20 * time.Millisecond}
+	const name = model.UpstreamName("reservas-0")
+	tests := []struct {
+		name  string
+		act   func(*load.Book)
+		check func(*qt.C, route.Candidate)
+	}{
+		{
+			name: "five failures in a row eject for half a second",
+			act:  func(b *load.Book) { repeat(b, 5, fail) },
+			check: func(c *qt.C, got route.Candidate) {
+				c.Assert(got.EjectedUntil, qt.Equals, start.Add(500*time.Millisecond))
+				c.Assert(got.Failing > 0.4, qt.IsTrue)
+			},
+		},
+		{
+			name: "an answer between failures prevents the ejection",
+			act: func(b *load.Book) {
+				repeat(b, 4, fail)
+				repeat(b, 1, answer)
+				repeat(b, 4, fail)
+			},
+			check: func(c *qt.C, got route.Candidate) { c.Assert(got.EjectedUntil.IsZero(), qt.IsTrue) },
+		},
+		{
+			name: "a refusal is no failure and no latency",
+			act:  func(b *load.Book) { repeat(b, 9, load.Outcome{Result: load.Refused, Latency: 1}) },
+			check: func(c *qt.C, got route.Candidate) {
+				c.Assert(got.Failing, qt.Equals, 0.0)
+				c.Assert(got.Latency, qt.Equals, time.Duration(0))
+			},
+		},
+		{
+			name: "a later incarnation starts anew and ignores the earlier one",
+			act: func(b *load.Book) {
+				b.Began(name)
+				repeat(b, 5, fail)
+				b.Reported(start.Add(time.Second), model.GateReport{Upstream: name, Incarnation: 2, Slots: 10})
+				b.Reported(start.Add(2*time.Second), model.GateReport{Upstream: name, Incarnation: 1, Slots: 99})
+			},
+			check: func(c *qt.C, got route.Candidate) {
+				c.Assert(got.InFlight, qt.Equals, 0)
+				c.Assert(got.Report.Slots, qt.Equals, 10)
+				c.Assert(got.EjectedUntil.IsZero(), qt.IsTrue)
+				c.Assert(got.Warmth < 0.2, qt.IsTrue)
+			},
+		},
+		{
+			name: "a gate that is leaving is no candidate",
+			act: func(b *load.Book) {
+				b.Reported(start, model.GateReport{Upstream: name, Incarnation: 1, Leaving: true})
+				b.Reported(start.Add(1), model.GateReport{Upstream: name, Incarnation: 1})
+			},
+			check: func(c *qt.C, got route.Candidate) { c.Assert(got.Upstream.Name, qt.Equals, model.UpstreamName("")) },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			book := newBook()
+			list := fleet(5)
+			book.Candidates(start, service, list, nil)
+			test.act(book)
+			test.check(qt.New(t), find(book.Candidates(start, service, list, nil), name))
+		})
+	}
+}
+
+func repeat(book *load.Book, times int, outcome load.Outcome) {
+	for range times {
+		book.Ended(start, book.Began("reservas-0"), outcome)
+	}
+}
+
+// BenchmarkDecision measures candidates, choice, begin and end of one call.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range []int{5, 30, 500} {
+		for _, named := range route.Policies {
+			b.Run(fmt.Sprintf("%s/%d", named.Name, size), func(b *testing.B) {
+				book := newBook()
+				picker := route.New(named.New())
+				list := fleet(size)
+				random := func(n int) int { return n / 2 }
+				var buffer []route.Candidate
+				b.ReportAllocs()
+				for b.Loop() {
+					buffer = book.Candidates(start, service, list, buffer)
+					upstream, _ := picker.Pick(start, random, buffer)
+					call := book.Began(upstream.Name)
+					book.Ended(start, call, load.Outcome{Result: load.Answered, Latency: time.Millisecond})
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkDecisionParallel shows what sharing the book among traffic goroutines costs.
+func BenchmarkDecisionParallel(b *testing.B) {
+	book := newBook()
+	picker := route.New(route.Policies[0].New())
+	list := fleet(500)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		random := func(n int) int { return n / 2 }
+		var buffer []route.Candidate
+		for pb.Next() {
+			buffer = book.Candidates(start, service, list, buffer)
+			upstream, _ := picker.Pick(start, random, buffer)
+			call := book.Began(upstream.Name)
+			book.Ended(start, call, load.Outcome{Result: load.Answered, Latency: time.Millisecond})
+		}
+	})
+}
--- /dev/null
+++ b/core/query/route/names.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"time"
+
+	"github.com/samber/mo"
+)
+
+// Default is the name of the policy that a daemon uses unless its settings name another.
+const Default = "weighted_choices"
+
+const (
+	reportLifetime  = 500 * time.Millisecond
+	latencyLifetime = 2 * time.Second
+	roundTrip       = 3 * time.Millisecond
+	serviceTime     = 10 * time.Millisecond
+	defaultSlots    = 10
+	fewChoices      = 3
+	hotQuantile     = 0.75
+)
+
+// Named is a policy under the name that settings use.
+type Named struct {
+	// Name is unique and in snake case.
+	Name string
+	// New returns a policy of its own for one daemon.
+	New func() Policy
+}
+
+// Policies has every policy, the default one first.
+var Policies = []Named{
+	{Name: Default, New: func() Policy { return Healthy[Weighted]{Inner: DefaultWeighted()} }},
+	{Name: "two_choices", New: func() Policy { return TwoChoices{ReportLifetime: reportLifetime} }},
+	{Name: "round_robin", New: func() Policy { return &RoundRobin{} }},
+	{Name: "least_in_flight", New: func() Policy { return LeastInFlight{} }},
+	{Name: "hot_cold", New: func() Policy {
+		return HotCold{Choices: fewChoices, HotQuantile: hotQuantile, ReportLifetime: reportLifetime}
+	}},
+}
+
+// DefaultWeighted returns the weighted policy with its default constants.
+func DefaultWeighted() Weighted {
+	return Weighted{
+		Choices:         fewChoices,
+		ReportLifetime:  reportLifetime,
+		LatencyLifetime: latencyLifetime,
+		RoundTrip:       roundTrip,
+		ServiceTime:     serviceTime,
+		Slots:           defaultSlots,
+	}
+}
+
+// ByName returns the named policy, or none when there is no such name.
+func ByName(name string) mo.Option[Policy] {
+	for _, named := range Policies {
+		if named.Name == name {
+			return mo.Some(named.New())
+		}
+	}
+	return mo.None[Policy]()
+}
--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -4,6 +4,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"comfreytack/core/model"
@@ -13,12 +14,26 @@
 type Candidate struct {
 	// Upstream is the instance.
 	Upstream model.Upstream
+	// Near says that the upstream is in this daemon's failure domain.
+	Near bool
 	// InFlight counts this daemon's own calls to it; exact.
 	InFlight int
 	// Report is the newest report of its gate; zero when there is none.
 	Report model.GateReport
 	// ReportAt is when Report was made, as far as known here; zero when there is none.
 	ReportAt time.Time
+	// InFlightAtReport is what InFlight was when Report arrived: the part of the report that is this daemon's own.
+	InFlightAtReport int
+	// Latency is the recent mean time of own calls that were answered; zero when there were none.
+	Latency time.Duration
+	// LatencyAt is when the newest own call was answered; zero when there was none.
+	LatencyAt time.Time
+	// Failing is the share of own recent calls that failed, from 0 to 1; it fades without calls.
+	Failing float64
+	// EjectedUntil is when an ejection for failures in a row ends; zero when there was none.
+	EjectedUntil time.Time
+	// Warmth is the share of a full load that a new incarnation may take, above 0 and up to 1.
+	Warmth float64
 }
 
 // Random returns a number from 0 to n-1.
@@ -26,7 +41,7 @@
 
 // Policy chooses among candidates.
 type Policy interface {
-	// Choose returns the index of the chosen candidate. The slice is not empty.
+	// Choose returns the index of the chosen candidate. The slice is not empty; Choose may reorder it.
 	Choose(now time.Time, random Random, candidates []Candidate) int
 }
 
@@ -40,10 +55,23 @@
 	return &Picker[P]{policy: policy}
 }
 
-// Pick returns the upstream to try, or false when there is no candidate.
+// Pick returns the upstream to try, or false when there is no candidate. It may reorder the slice.
 func (p *Picker[P]) Pick(now time.Time, random Random, candidates []Candidate) (model.Upstream, bool) {
 	if len(candidates) == 0 {
 		return model.Upstream{}, false
 	}
-	return candidates[p.policy.Choose(now, random, candidates)].Upstream, true
+	chosen := p.policy.Choose(now, random, candidates)
+	return candidates[chosen].Upstream, true
+}
+
+// Without takes the upstreams that were tried out of the slice, in place.
+//
+//	Without([a b c], [b]) -> [a c]
+func Without(candidates []Candidate, tried []model.UpstreamName) []Candidate {
+	if len(tried) == 0 {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(c Candidate) bool {
+		return slices.Contains(tried, c.Upstream.Name)
+	})
 }
--- /dev/null
+++ b/core/query/route/weighted.go
@@ -0,0 +1,74 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// Weighted takes the one of a few random candidates whose answer is expected first.
+//
+// The expected time of a call is the network's round trip plus the service time, stretched by the load
+// on the slots. Own evidence (calls in flight, latency, failures) outranks what a gate reports.
+type Weighted struct {
+	// Choices is how many random candidates are compared; at least 1.
+	Choices int
+	// ReportLifetime is the age at which a gate's report counts for nothing.
+	ReportLifetime time.Duration
+	// LatencyLifetime is the age at which the latency of own calls counts for nothing.
+	LatencyLifetime time.Duration
+	// RoundTrip is what a call to another failure domain adds.
+	RoundTrip time.Duration
+	// ServiceTime is assumed of an upstream of which nothing is known; positive.
+	ServiceTime time.Duration
+	// Slots is assumed of an upstream of which nothing is known; at least 1.
+	Slots int
+}
+
+// leastSuccess bounds how far failures raise the cost of a candidate.
+const leastSuccess = 0.05
+
+// Choose implements Policy.
+func (p Weighted) Choose(now time.Time, random Random, candidates []Candidate) int {
+	best, bestCost := 0, math.Inf(1)
+	choices := min(p.Choices, len(candidates))
+	for i := range choices {
+		// Moves each drawn candidate to the front, so that none is drawn twice.
+		drawn := i + random(len(candidates)-i)
+		candidates[i], candidates[drawn] = candidates[drawn], candidates[i]
+		if cost := p.cost(now, &candidates[i]); cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// cost is the expected time of a call in nanoseconds, raised for failures and for cold upstreams.
+func (p Weighted) cost(now time.Time, c *Candidate) float64 {
+	trust := trustAt(now, c.ReportAt, p.ReportLifetime)
+	slots := float64(p.Slots)
+	if c.Report.Slots > 0 {
+		slots = float64(c.Report.Slots)
+	}
+	others := max(0, c.Report.InFlight+c.Report.Queued-c.InFlightAtReport)
+	load := float64(c.InFlight) + trust*float64(others)
+	expected := p.serviceTime(now, c, trust) * (1 + load/slots)
+	if !c.Near {
+		expected += float64(p.RoundTrip)
+	}
+	success := max(leastSuccess, 1-c.Failing)
+	return expected / (success * success * max(leastSuccess, c.Warmth))
+}
+
+// serviceTime blends the assumed, the reported and the observed time, each over the one before it.
+func (p Weighted) serviceTime(now time.Time, c *Candidate, trust float64) float64 {
+	estimate := float64(p.ServiceTime)
+	if c.Report.ServiceUs > 0 {
+		reported := float64(c.Report.ServiceUs) * float64(time.Microsecond)
+		estimate += trust * (reported - estimate)
+	}
+	if c.Latency > 0 {
+		evidence := trustAt(now, c.LatencyAt, p.LatencyLifetime)
+		estimate += evidence * (float64(c.Latency) - estimate)
+	}
+	return estimate
+}
--- /dev/null
+++ b/core/query/subset/subset.go
@@ -0,0 +1,71 @@
+// Package subset bounds how many upstreams of a service one daemon calls.
+//
+// The subset depends on the daemon's name and the upstreams' names alone, so it needs no agreement
+// among daemons, and different daemons spread over different upstreams.
+package subset
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"comfreytack/core/model"
+)
+
+// ranked is an upstream with its place in this daemon's order.
+type ranked struct {
+	upstream model.Upstream
+	// round is how many upstreams of the same failure domain rank before it.
+	round int
+	score uint64
+}
+
+// Of returns at most size of the upstreams, in an order that is the daemon's own.
+//
+// Every failure domain gives its best-ranked upstream before any gives its second. A change of one
+// upstream in a known failure domain changes at most one other member of the subset.
+func Of(self model.UpstreamName, upstreams []model.Upstream, size int) []model.Upstream {
+	order := make([]ranked, 0, len(upstreams))
+	for _, upstream := range upstreams {
+		order = append(order, ranked{upstream: upstream, score: score(self, string(upstream.Name))})
+	}
+	slices.SortFunc(order, byScore)
+	number(order)
+	slices.SortStableFunc(order, func(a, b ranked) int {
+		return cmp.Or(
+			cmp.Compare(a.round, b.round),
+			cmp.Compare(score(self, string(a.upstream.FailureDomain)), score(self, string(b.upstream.FailureDomain))),
+		)
+	})
+	order = order[:min(size, len(order))]
+	members := make([]model.Upstream, 0, len(order))
+	for _, r := range order {
+		members = append(members, r.upstream)
+	}
+	return members
+}
+
+// number sets the rounds of upstreams that are ordered by score.
+func number(order []ranked) {
+	rounds := map[model.FailureDomain]int{}
+	for i := range order {
+		domain := order[i].upstream.FailureDomain
+		order[i].round = rounds[domain]
+		rounds[domain]++
+	}
+}
+
+func byScore(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.upstream.Name, b.upstream.Name))
+}
+
+// score is the rendezvous hash of a daemon and a name.
+func score(self model.UpstreamName, name string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(string(self))
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(name)
+	return digest.Sum64()
+}
