--- a/core/model/call.go
+++ b/core/model/call.go
@@ -22,6 +22,8 @@
 	Idempotent bool
 	// Key is the caller's idempotency key, if it sent one.
 	Key mo.Option[Key]
+	// Send numbers the caller's sends of Key from 1; zero when the caller does not number them.
+	Send int
 	// Deadline is when the caller stops waiting; never zero.
 	Deadline time.Time
 	// Fingerprint is zero when the body was too large to hash.
