--- /dev/null
+++ b/cftlab/deploy/deploy.go
@@ -0,0 +1,172 @@
+// Package deploy reads the example deployments and places them on addresses of one machine.
+package deploy
+
+import (
+	"encoding/json"
+	"io/fs"
+	"maps"
+	"path"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"comfreytack/cftlab/loader"
+	"comfreytack/core/model"
+	"comfreytack/core/setup"
+)
+
+// Deployment is what the folder of a deployment says.
+type Deployment struct {
+	// Contracts and Services are the initial keys of the platform, ordered by name.
+	Contracts []model.Contract
+	Services  []model.Service
+	// Daemon is the example of a daemon's settings; the others differ in names and addresses.
+	Daemon setup.Settings
+	// Plan is the load of the demo.
+	Plan loader.Plan
+}
+
+// Load reads the folder of a deployment, for example deployments/quito.
+func Load(folder fs.FS) (Deployment, error) {
+	var deployment Deployment
+	var err error
+	if deployment.Contracts, err = readAll[model.Contract](folder, "keys/contracts"); err != nil {
+		return Deployment{}, err
+	}
+	if deployment.Services, err = readAll[model.Service](folder, "keys/services"); err != nil {
+		return Deployment{}, err
+	}
+	settings, err := fs.ReadFile(folder, "daemon.json")
+	if err != nil {
+		return Deployment{}, errors.WithStack(err)
+	}
+	if deployment.Daemon, err = setup.Parse("daemon.json", settings); err != nil {
+		return Deployment{}, err
+	}
+	file, err := folder.Open("load.json")
+	if err != nil {
+		return Deployment{}, errors.WithStack(err)
+	}
+	defer file.Close()
+	deployment.Plan, err = loader.Parse(file)
+	return deployment, err
+}
+
+func readAll[T any](folder fs.FS, name string) ([]T, error) {
+	files, err := fs.Glob(folder, path.Join(name, "*.json"))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	values := []T{}
+	for _, file := range files {
+		data, err := fs.ReadFile(folder, file)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		var value T
+		if err := json.Unmarshal(data, &value); err != nil {
+			return nil, errors.Wrap(err, file)
+		}
+		values = append(values, value)
+	}
+	return values, nil
+}
+
+// Site is a deployment placed on one machine.
+type Site struct {
+	// Platform serves readers and PlatformControl operators of the lab.
+	Platform        model.Address
+	PlatformControl model.Address
+	// Keys has the platform's initial documents by key.
+	Keys map[string]any
+	// Places has one entry for each upstream, ordered by service.
+	Places []Place
+}
+
+// Place is one upstream and the daemon beside it.
+type Place struct {
+	// Daemon has the settings of the daemon, with the upstream's name and address.
+	Daemon setup.Settings
+	// Control switches the fake upstream.
+	Control model.Address
+	// Slots and Connections are those of the service.
+	Slots       int
+	Connections int
+}
+
+const mostSeeds = 3
+
+// Place gives every process addresses of its own; next returns an unused one.
+func (d Deployment) Place(next func() model.Address) Site {
+	site := Site{Platform: next(), PlatformControl: next(), Keys: map[string]any{}}
+	for _, contract := range d.Contracts {
+		site.Keys["contracts/"+string(contract.Customer)] = contract
+	}
+	calls := []model.ServiceName{}
+	for _, service := range d.Services {
+		calls = append(calls, service.Name)
+		service.Upstreams = slices.Clone(service.Upstreams)
+		for index := range service.Upstreams {
+			upstream := &service.Upstreams[index]
+			upstream.Gate, upstream.Peer = next(), next()
+			site.Places = append(site.Places, d.place(site, service, *upstream, next))
+		}
+		site.Keys["services/"+string(service.Name)] = service
+	}
+	for index := range site.Places {
+		site.Places[index].Daemon.Calls = calls
+		site.Places[index].Daemon.Seeds = seeds(site.Places, index)
+	}
+	return site
+}
+
+func (d Deployment) place(site Site, service model.Service, upstream model.Upstream, next func() model.Address) Place {
+	settings := d.Daemon
+	settings.Name = upstream.Name
+	settings.Service = service.Name
+	settings.Region = upstream.Region
+	settings.FailureDomain = upstream.FailureDomain
+	settings.Callers = next()
+	settings.Gate = upstream.Gate
+	settings.Peer = upstream.Peer
+	settings.Operators = next()
+	settings.Upstream = next()
+	settings.Platform = []model.Address{site.Platform}
+	return Place{Daemon: settings, Control: next(), Slots: service.Slots, Connections: service.Connections}
+}
+
+// seeds returns the peers of the first daemons other than the one at index self.
+func seeds(places []Place, self int) []model.Address {
+	found := []model.Address{}
+	for index, place := range places {
+		if index != self && len(found) < mostSeeds {
+			found = append(found, place.Daemon.Peer)
+		}
+	}
+	return found
+}
+
+// Callers returns the addresses that callers may use, one for each daemon.
+func (s Site) Callers() []string {
+	addresses := []string{}
+	for _, place := range s.Places {
+		addresses = append(addresses, string(place.Daemon.Callers))
+	}
+	return addresses
+}
+
+// Of returns the places of one service.
+func (s Site) Of(service model.ServiceName) []Place {
+	places := []Place{}
+	for _, place := range s.Places {
+		if place.Daemon.Service == service {
+			places = append(places, place)
+		}
+	}
+	return places
+}
+
+// KeyNames returns the platform's keys in order.
+func (s Site) KeyNames() []string {
+	return slices.Sorted(maps.Keys(s.Keys))
+}
--- /dev/null
+++ b/cftlab/fleet/fleet.go
@@ -0,0 +1,296 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreytack/cftlab/deploy"
+	"comfreytack/cftlab/stub"
+	"comfreytack/core/model"
+)
+
+const (
+	readyTimeout = 30 * time.Second
+	readyPolling = 100 * time.Millisecond
+	stopGrace    = 8 * time.Second
+	dirMode      = 0o755
+	fileMode     = 0o644
+)
+
+// Settings says what to start.
+type Settings struct {
+	// Bin is the folder of the programs cftd and cftlab.
+	Bin string
+	// Folder takes settings, logs and run logs.
+	Folder string
+	// Site is the placed deployment.
+	Site deploy.Site
+	// Flags go to every daemon.
+	Flags []string
+	// UpstreamFlags go to every fake upstream.
+	UpstreamFlags []string
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	settings  Settings
+	platform  *Process
+	upstreams map[model.UpstreamName]*Process
+	daemons   map[model.UpstreamName]*Process
+}
+
+// Launch starts all processes and waits until every daemon is ready. When it fails, none is left.
+func Launch(ctx context.Context, settings Settings) (*Fleet, error) {
+	fleet := &Fleet{
+		settings:  settings,
+		upstreams: map[model.UpstreamName]*Process{},
+		daemons:   map[model.UpstreamName]*Process{},
+	}
+	if err := fleet.startAll(ctx); err != nil {
+		fleet.Stop()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+func (f *Fleet) startAll(ctx context.Context) error {
+	if err := f.writeKeys(); err != nil {
+		return err
+	}
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	for _, place := range f.settings.Site.Places {
+		if err := f.startUpstream(place); err != nil {
+			return err
+		}
+		if err := f.startDaemon(place); err != nil {
+			return err
+		}
+	}
+	return f.awaitReady(ctx)
+}
+
+func (f *Fleet) writeKeys() error {
+	for _, key := range f.settings.Site.KeyNames() {
+		path := filepath.Join(f.settings.Folder, "keys", filepath.FromSlash(key)+".json")
+		if err := os.MkdirAll(filepath.Dir(path), dirMode); err != nil {
+			return errors.WithStack(err)
+		}
+		if err := writeJSON(path, f.settings.Site.Keys[key]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeJSON(path string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(os.WriteFile(path, data, fileMode))
+}
+
+func (f *Fleet) startPlatform() error {
+	site := f.settings.Site
+	process, err := start("platform", f.settings.Folder, filepath.Join(f.settings.Bin, "cftlab"), "platform",
+		"--listen", string(site.Platform),
+		"--control", string(site.PlatformControl),
+		"--keys", filepath.Join(f.settings.Folder, "keys"))
+	f.platform = process
+	return err
+}
+
+func (f *Fleet) startUpstream(place deploy.Place) error {
+	name := place.Daemon.Name
+	args := []string{
+		"upstream",
+		"--listen", fmt.Sprintf("%s=%s", name, place.Daemon.Upstream),
+		"--control", string(place.Control),
+		"--slots", fmt.Sprint(place.Slots),
+		"--connections", fmt.Sprint(place.Connections),
+		"--run-log", f.runLog(name),
+	}
+	args = append(args, f.settings.UpstreamFlags...)
+	process, err := start("upstream-"+string(name), f.settings.Folder, filepath.Join(f.settings.Bin, "cftlab"), args...)
+	if err == nil {
+		f.upstreams[name] = process
+	}
+	return err
+}
+
+func (f *Fleet) startDaemon(place deploy.Place) error {
+	name := place.Daemon.Name
+	path := filepath.Join(f.settings.Folder, string(name)+".json")
+	if err := writeJSON(path, place.Daemon); err != nil {
+		return err
+	}
+	args := append([]string{"--settings", path}, f.settings.Flags...)
+	process, err := start("daemon-"+string(name), f.settings.Folder, filepath.Join(f.settings.Bin, "cftd"), args...)
+	if err == nil {
+		f.daemons[name] = process
+	}
+	return err
+}
+
+func (f *Fleet) runLog(name model.UpstreamName) string {
+	return filepath.Join(f.settings.Folder, string(name)+".runs")
+}
+
+// awaitReady polls /ready of every daemon, with all of them at once.
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, place := range f.settings.Site.Places {
+		if err := f.awaitDaemon(ctx, place); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) awaitDaemon(ctx context.Context, place deploy.Place) error {
+	daemon := f.daemons[place.Daemon.Name]
+	for !ready(ctx, place.Daemon.Operators) {
+		if daemon.Ended() {
+			return errors.Errorf("%s ended before it was ready; its log is %s", daemon.Name, daemon.Log)
+		}
+		select {
+		case <-time.After(readyPolling):
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s is not ready; its log is %s", daemon.Name, daemon.Log)
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, operators model.Address) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(operators)+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Switch changes faults of a fake upstream.
+func (f *Fleet) Switch(ctx context.Context, place deploy.Place, change stub.Change) error {
+	body, err := json.Marshal(change)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	address := "http://" + string(place.Control) + "/control"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body)
+		return errors.Errorf("%s: %s %s", address, response.Status, text)
+	}
+	return nil
+}
+
+// KillUpstream ends a fake upstream at once; its daemon stays.
+func (f *Fleet) KillUpstream(place deploy.Place) {
+	f.upstreams[place.Daemon.Name].Kill()
+}
+
+// Runs returns the runs of all upstreams, dead ones too.
+func (f *Fleet) Runs() ([]stub.Run, error) {
+	runs := []stub.Run{}
+	for name := range f.upstreams {
+		some, err := readRuns(f.runLog(name))
+		if err != nil {
+			return nil, err
+		}
+		runs = append(runs, some...)
+	}
+	return runs, nil
+}
+
+func readRuns(path string) ([]stub.Run, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer file.Close()
+	runs := []stub.Run{}
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var run stub.Run
+		if err := json.Unmarshal(lines.Bytes(), &run); err != nil {
+			return nil, errors.Wrap(err, path)
+		}
+		runs = append(runs, run)
+	}
+	return runs, errors.WithStack(lines.Err())
+}
+
+// Logs returns the log files of the daemons.
+func (f *Fleet) Logs() []string {
+	logs := []string{}
+	for _, daemon := range f.daemons {
+		logs = append(logs, daemon.Log)
+	}
+	slices.Sort(logs)
+	return logs
+}
+
+// Stop ends all processes: first the daemons, which finish what is in flight, then what they need.
+// It returns the names of those that had to be killed.
+func (f *Fleet) Stop() []string {
+	others := []*Process{}
+	for _, upstream := range f.upstreams {
+		others = append(others, upstream)
+	}
+	if f.platform != nil {
+		others = append(others, f.platform)
+	}
+	daemons := []*Process{}
+	for _, daemon := range f.daemons {
+		daemons = append(daemons, daemon)
+	}
+	return append(stopAll(daemons), stopAll(others)...)
+}
+
+func stopAll(processes []*Process) []string {
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	killed := []string{}
+	for _, process := range processes {
+		group.Go(func() {
+			if process.Stop(stopGrace) {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			killed = append(killed, process.Name)
+		})
+	}
+	group.Wait()
+	slices.Sort(killed)
+	return killed
+}
--- /dev/null
+++ b/cftlab/verbs/demo.go
@@ -0,0 +1,186 @@
+package verbs
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/mo"
+
+	"comfreytack/cftlab/deploy"
+	"comfreytack/cftlab/fleet"
+	"comfreytack/cftlab/loader"
+	"comfreytack/cftlab/stub"
+	"comfreytack/cftlab/tally"
+	"comfreytack/core/model"
+)
+
+var demoVerb = Verb{
+	Name:    "demo",
+	Summary: "run a whole deployment under load while upstreams fail, and check the run logs",
+	New:     func() Action { return &demo{} },
+}
+
+type demo struct {
+	Deployment  string   `long:"deployment" default:"quito" description:"folder of a deployment below --deployments"`
+	Deployments string   `long:"deployments" default:"deployments" value-name:"FOLDER" description:"folder of all deployments"`
+	Seconds     float64  `long:"seconds" default:"10" description:"how long to send load"`
+	Scale       float64  `long:"scale" default:"1" description:"multiplies all rates"`
+	Seed        uint64   `long:"seed" default:"1" description:"seed of arrivals and work times"`
+	Bin         string   `long:"bin" default:"bin" value-name:"FOLDER" description:"folder of the programs"`
+	Keep        bool     `long:"keep" description:"keep the folder of settings, logs and run logs"`
+	Flag        []string `long:"flag" value-name:"FLAG" description:"passed to every daemon; may be repeated"`
+}
+
+// errBroken says that the run logs show a broken promise.
+var errBroken = errors.New("the run logs show a broken promise")
+
+// Run starts the deployment, sends the load and compares what callers were told with the run logs.
+func (d *demo) Run(ctx context.Context, streams Streams) error {
+	deployment, err := deploy.Load(os.DirFS(filepath.Join(d.Deployments, d.Deployment)))
+	if err != nil {
+		return err
+	}
+	folder, err := os.MkdirTemp("", "cftlab-"+d.Deployment+"-")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	site := deployment.Place(fleet.NewPorts(os.Getpid()).Next)
+	running, err := fleet.Launch(ctx, fleet.Settings{Bin: d.Bin, Folder: folder, Site: site, Flags: d.Flag})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(streams.Out, "%s: %d upstreams and their daemons are ready\n", d.Deployment, len(site.Places))
+	records, err := d.send(ctx, streams, deployment, site, running)
+	killed := running.Stop()
+	if err != nil {
+		return err
+	}
+	if ctx.Err() != nil {
+		return errors.New("interrupted; all processes were stopped")
+	}
+	err = report(streams, records, running)
+	if err == nil && len(killed) > 0 {
+		err = errors.Errorf("did not stop in time and were killed: %v", killed)
+	}
+	if err != nil {
+		fmt.Fprintf(streams.Errs, "logs of the daemons:\n")
+		for _, log := range running.Logs() {
+			fmt.Fprintf(streams.Errs, "  %s\n", log)
+		}
+		return err
+	}
+	if d.Keep {
+		fmt.Fprintf(streams.Errs, "kept %s\n", folder)
+		return nil
+	}
+	return errors.WithStack(os.RemoveAll(folder))
+}
+
+// send sends the load while faults happen.
+func (d *demo) send(
+	ctx context.Context, streams Streams, deployment deploy.Deployment, site deploy.Site, running *fleet.Fleet,
+) ([]loader.Record, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() { failed <- d.disturb(ctx, streams, disturbances(deployment, site, running)) }()
+	records, err := loader.Run(ctx, loader.Settings{
+		Targets: site.Callers(),
+		Span:    seconds(d.Seconds),
+		Seed:    d.Seed,
+		Prefix:  prefix(time.Now()),
+	}, deployment.Plan.Scaled(d.Scale))
+	cancel()
+	if failure := <-failed; err == nil {
+		err = failure
+	}
+	return records, err
+}
+
+// disturbance is a fault at a share of the demo's length.
+type disturbance struct {
+	share float64
+	text  string
+	apply func(ctx context.Context) error
+}
+
+// slowdown is how much longer the work of the slow upstream takes.
+const slowdown = 10
+
+// disturbances drains an upstream of the first service of the plan, slows one down and kills one of the
+// service that takes the first non-idempotent requests.
+func disturbances(deployment deploy.Deployment, site deploy.Site, running *fleet.Fleet) []disturbance {
+	read := site.Of(service(deployment.Plan, true))
+	write := site.Of(service(deployment.Plan, false))
+	drains, slows, dies := read[0], read[1], write[0]
+	return []disturbance{
+		{share: 0.2, text: fmt.Sprintf("%s drains", drains.Daemon.Name), apply: func(ctx context.Context) error {
+			return running.Switch(ctx, drains, stub.Change{Drain: mo.Some(true)})
+		}},
+		{share: 0.35, text: fmt.Sprintf("%s slows down tenfold", slows.Daemon.Name), apply: func(ctx context.Context) error {
+			return running.Switch(ctx, slows, stub.Change{SlowFactor: mo.Some(float64(slowdown))})
+		}},
+		{share: 0.5, text: fmt.Sprintf("%s is killed", dies.Daemon.Name), apply: func(context.Context) error {
+			running.KillUpstream(dies)
+			return nil
+		}},
+	}
+}
+
+// service returns the first service of the plan whose requests are idempotent or not.
+func service(plan loader.Plan, idempotent bool) model.ServiceName {
+	for _, stream := range plan.Streams {
+		if stream.Idempotent == idempotent {
+			return stream.Service
+		}
+	}
+	return plan.Streams[0].Service
+}
+
+// disturb applies the faults at their times, until ctx ends.
+func (d *demo) disturb(ctx context.Context, streams Streams, faults []disturbance) error {
+	began := time.Now()
+	for _, fault := range faults {
+		at := seconds(d.Seconds * fault.share)
+		select {
+		case <-time.After(time.Until(began.Add(at))):
+		case <-ctx.Done():
+			return nil
+		}
+		if err := fault.apply(ctx); err != nil {
+			return errors.Wrap(err, fault.text)
+		}
+		fmt.Fprintf(streams.Out, "%5.1f s  %s\n", at.Seconds(), fault.text)
+	}
+	return nil
+}
+
+// report prints the table and the line of totals.
+func report(streams Streams, records []loader.Record, running *fleet.Fleet) error {
+	runs, err := running.Runs()
+	if err != nil {
+		return err
+	}
+	if err := tally.Print(streams.Out, tally.Rows(records)); err != nil {
+		return errors.WithStack(err)
+	}
+	totals := tally.Count(records, runs)
+	if totals.Stray > 0 {
+		fmt.Fprintf(streams.Out, "runs that no caller sent: %d\n", totals.Stray)
+	}
+	if totals.KeyNotRun > 0 {
+		fmt.Fprintf(streams.Out, "answered not_run after another send of the key ran: %d\n", totals.KeyNotRun)
+	}
+	fmt.Fprintf(streams.Out,
+		"demo: sent=%d served=%d not_run=%d may_have_run=%d wrong_answer=%d ran_twice=%d false_not_run=%d\n",
+		totals.Sent, totals.Served, totals.NotRun, totals.MayHaveRun,
+		totals.WrongAnswer, totals.RanTwice, totals.FalseNotRun)
+	if totals.Broken() {
+		return errBroken
+	}
+	return nil
+}
--- a/cftlab/verbs/verbs.go
+++ b/cftlab/verbs/verbs.go
@@ -45,6 +45,7 @@
 	return []Verb{
 		upstreamVerb,
 		platformVerb,
+		demoVerb,
 		loadVerb,
 	}
 }
