Wire the fair gate and the weighted policy into the path

Cause: the gate and the load book changed their signatures while the path was built on the first ones. Chosen: a carrier says when an answer has been read and what it tells of the upstream, so that the count in flight covers the body and an upstream that fails fast does not look idle. Ruled out: counting up to the headers, which forgets streamed answers. Checked: go test -race ./core/... ./cftd/...

--- a/cftd/entry/carry.go
+++ b/cftd/entry/carry.go
@@ -6,6 +6,7 @@
 	"net/url"
 
 	"comfreytack/cftd/relay"
+	"comfreytack/core/command/load"
 	"comfreytack/core/model"
 	"comfreytack/core/wire"
 )
@@ -32,7 +33,7 @@
 }
 
 // Attempt implements send.Carrier.
-func (c *carrier) Attempt(ctx context.Context, call model.Call, upstream model.Upstream) (*http.Response, *model.GateReport, *model.Failure) {
+func (c *carrier) Attempt(ctx context.Context, call model.Call, upstream model.Upstream, ended func(load.Result)) (*http.Response, *model.GateReport, *model.Failure) {
 	request := relay.Request{
 		Address: upstream.Gate,
 		Method:  call.Method,
@@ -41,6 +42,24 @@
 		Header:  c.header.Clone(),
 		Body:    c.body,
 	}
+	answer, report, failure := c.one(ctx, call, upstream, request)
+	if failure != nil {
+		ended(load.ResultOf(failure.Reason))
+		return nil, report, failure
+	}
+	answer.Body = relay.OnClose(answer.Body, func() { ended(resultOf(answer)) })
+	return answer, report, nil
+}
+
+// resultOf tells an upstream's own errors, which may come fast, from useful answers.
+func resultOf(answer *http.Response) load.Result {
+	if answer.StatusCode >= http.StatusInternalServerError {
+		return load.Failed
+	}
+	return load.Answered
+}
+
+func (c *carrier) one(ctx context.Context, call model.Call, upstream model.Upstream, request relay.Request) (*http.Response, *model.GateReport, *model.Failure) {
 	if upstream.Name == c.entry.settings.Self.Name {
 		answer, failure := c.entry.settings.Local.Run(ctx, call, request)
 		report := c.entry.settings.Local.Report()
@@ -56,16 +75,14 @@
 	if failure != nil {
 		return nil, nil, failure
 	}
-	report, known := wire.TakeReport(answer.Header)
-	failure = wire.TakeFailure(answer.Header)
-	if failure != nil {
-		_ = answer.Body.Close()
-		answer = nil
-	} else {
-		wire.DropOwn(answer.Header)
+	var report *model.GateReport
+	if value, known := wire.TakeReport(answer.Header); known {
+		report = &value
 	}
-	if !known {
-		return answer, nil, failure
+	if failure := wire.TakeFailure(answer.Header); failure != nil {
+		_ = answer.Body.Close()
+		return nil, report, failure
 	}
-	return answer, &report, failure
+	wire.DropOwn(answer.Header)
+	return answer, report, nil
 }
--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -61,7 +60,7 @@
 		return nil, &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamShed}
 	}
 	wire.DropOwn(answer.Header)
-	answer.Body = &releasing{ReadCloser: answer.Body, release: slot.Release}
+	answer.Body = relay.OnClose(answer.Body, slot.Release)
 	return answer, nil
 }
 
@@ -75,14 +74,3 @@
 	status := g.settings.Snapshot().Services[call.Service].ShedStatus
 	return status != 0 && answer.StatusCode == status
 }
-
-// releasing frees the slot when the answer's body is closed.
-type releasing struct {
-	io.ReadCloser
-	release func()
-}
-
-func (r *releasing) Close() error {
-	defer r.release()
-	return r.ReadCloser.Close()
-}
--- a/cftd/relay/answer.go
+++ b/cftd/relay/answer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"sync"
 
 	"comfreytack/core/model"
 	"comfreytack/core/wire"
@@ -76,3 +77,18 @@
 	}
 	return names
 }
+
+// OnClose returns the body with a function that is called once, when it is closed.
+func OnClose(body io.ReadCloser, closed func()) io.ReadCloser {
+	return &closing{ReadCloser: body, closed: sync.OnceFunc(closed)}
+}
+
+type closing struct {
+	io.ReadCloser
+	closed func()
+}
+
+func (c *closing) Close() error {
+	defer c.closed()
+	return c.ReadCloser.Close()
+}
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -28,7 +28,6 @@
 	beatInterval        = 50 * time.Millisecond
 	pauseLimit          = time.Second
 	eventBacklog        = 4096
-	reportLifetime      = 200 * time.Millisecond
 	upstreamConnections = 200
 	gateConnections     = 64
 	firstSlots          = 10
@@ -59,6 +58,8 @@
 	control := loop.New(loop.Settings{Beat: beatInterval, Backlog: eventBacklog, Now: time.Now}, state, func(daemon.Effect) {})
 	p := plan{settings: settings, options: options, log: log, self: self, control: control, meter: meter.New()}
 	switch options.Discipline {
+	case "fair":
+		return buildGate(p, admit.NewFair())
 	case "fifo":
 		return buildGate(p, admit.NewFIFO())
 	}
@@ -113,15 +114,15 @@
 }
 
 func buildSend(p plan) (entry.Send, error) {
-	switch p.options.Policy {
-	case "two_choices":
-		return sendBy(p, route.TwoChoices{ReportLifetime: reportLifetime}), nil
+	policy, known := route.ByName(p.options.Policy).Get()
+	if !known {
+		return nil, errors.Errorf("unknown policy %q", p.options.Policy)
 	}
-	return nil, errors.Errorf("unknown policy %q", p.options.Policy)
+	return sendBy(p, policy), nil
 }
 
 func sendBy[P route.Policy](p plan, policy P) entry.Send {
-	sender := send.New(p.control.Snapshot, time.Now, route.New(policy), load.New())
+	sender := send.New(p.control.Snapshot, time.Now, route.New(policy), load.New(p.self, load.DefaultSettings()))
 	return func(ctx context.Context, call model.Call, carrier send.Carrier[*http.Response]) (*http.Response, *model.Failure) {
 		return send.Send(ctx, sender, call, carrier)
 	}
--- a/cftd/start/main.go
+++ b/cftd/start/main.go
@@ -29,8 +29,8 @@
 	Settings   string `long:"settings" short:"s" value-name:"FILE" description:"JSON settings of this daemon"`
 	Check      bool   `long:"check" description:"Check the settings, print the result and exit"`
 	Version    bool   `long:"version" description:"Print the version and exit"`
-	Policy     string `long:"policy" hidden:"true" default:"two_choices" description:"Routing policy, for measurements"`
-	Discipline string `long:"discipline" hidden:"true" default:"fifo" description:"Order of the gate's queue, for measurements"`
+	Policy     string `long:"policy" hidden:"true" default:"weighted_choices" description:"Routing policy, for measurements"`
+	Discipline string `long:"discipline" hidden:"true" default:"fair" description:"Order of the gate's queue, for measurements"`
 }
 
 // Main runs the daemon and returns its exit code: 0 after a clean stop, 1 when it could not run,
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -105,7 +105,7 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	options := Options{Policy: "two_choices", Discipline: "fifo"}
+	options := Options{Policy: "weighted_choices", Discipline: "fair"}
 	go func() { done <- serve(ctx, settings, options, slog.New(slog.DiscardHandler)) }()
 	t.Cleanup(func() {
 		stop()
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -61,7 +61,12 @@
 		g.finish(id)
 		return Slot{}, failure
 	}
-	release := sync.OnceFunc(func() { g.finish(id) })
+	release := sync.OnceFunc(func() {
+		if ctx.Err() != nil {
+			g.abandon(id)
+		}
+		g.finish(id)
+	})
 	return Slot{Waited: g.settings.Now().Sub(arrived), Release: release}, nil
 }
 
@@ -81,11 +86,13 @@
 func (g *Gate[D]) arrive(now time.Time, call model.Call) (uint64, admit.Decision, chan admit.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.applyLimits()
+	snapshot := g.settings.Snapshot()
+	g.applyLimits(now, snapshot)
 	g.nextID++
 	ticket := admit.Ticket{
 		ID:        g.nextID,
 		Customer:  call.Customer,
+		Tier:      snapshot.Contracts[call.Customer].Tier,
 		Class:     call.Class,
 		ArrivedAt: now,
 		Deadline:  call.Deadline,
@@ -134,20 +141,32 @@
 func (g *Gate[D]) finish(id uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, decision := range g.gate.Finish(g.settings.Now(), id) {
+	now := g.settings.Now()
+	g.wake(g.gate.Finish(now, id))
+}
+
+func (g *Gate[D]) abandon(id uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Abandon(id)
+}
+
+// wake hands decisions to the goroutines that wait for them. The caller holds the lock.
+func (g *Gate[D]) wake(decisions []admit.Decision) {
+	for _, decision := range decisions {
 		g.waiting[decision.Ticket] <- decision
 		delete(g.waiting, decision.Ticket)
 	}
 }
 
-func (g *Gate[D]) applyLimits() {
-	snapshot := g.settings.Snapshot()
+// applyLimits follows the control state. The caller holds the lock.
+func (g *Gate[D]) applyLimits(now time.Time, snapshot *model.Snapshot) {
 	if snapshot.Revision == g.applied {
 		return
 	}
 	g.applied = snapshot.Revision
 	slots := snapshot.Services[snapshot.Self.Service].Slots
-	g.gate.SetLimits(max(1, slots), snapshot.Limits)
+	g.wake(g.gate.SetLimits(now, slots, snapshot.Limits))
 }
 
 func refuseAtDoor(snapshot *model.Snapshot) *model.Failure {
