Add retry decisions, retry and measuring budgets, and quarantine of crashing requests

Cause: nothing bounded retries over a chain, questions to gates, or a request that its caller sends again after it crashed an upstream.

Ruled out: moving the end of a known crash when a peer tells it again, and dropping it as soon as it stops being told: either let two books keep a quarantine alive by telling it to and fro (TestGossipEnds failed on it).

--- /dev/null
+++ b/core/command/budget/budget.go
@@ -0,0 +1,114 @@
+// Package budget bounds each customer's retries to a share of its first attempts.
+//
+// A Book is shared by traffic goroutines and guards itself.
+package budget
+
+import (
+	"sync"
+	"time"
+
+	"comfreytack/core/model"
+)
+
+// Settings has the bounds of a book.
+type Settings struct {
+	// Customers bounds the buckets; at least 1. Customers beyond it share one bucket.
+	Customers int
+	// Idle is how long a bucket is kept without a call.
+	Idle time.Duration
+	// Reserve is how many retries a customer has before its first call; it makes a customer with
+	// few calls able to retry at all.
+	Reserve int
+	// Burst is how many retries a customer can save up; at least Reserve.
+	Burst int
+}
+
+// DefaultSettings returns the settings that a daemon uses.
+func DefaultSettings() Settings {
+	return Settings{Customers: 10_000, Idle: time.Minute, Reserve: 1, Burst: 20}
+}
+
+// wholeRetry is the price of one retry in hundredths, so that a share in percent adds up exactly.
+const wholeRetry = 100
+
+// Book has a bucket for each customer that called lately.
+type Book struct {
+	settings Settings
+
+	mu      sync.Mutex
+	buckets map[model.Customer]*bucket
+	// shared is used when there are as many buckets as there may be.
+	shared  bucket
+	sweptAt time.Time
+}
+
+// bucket holds between 0 and Burst retries.
+type bucket struct {
+	hundredths int
+	usedAt     time.Time
+}
+
+// New returns a book in which every customer has its reserve.
+func New(settings Settings) *Book {
+	return &Book{
+		settings: settings,
+		buckets:  map[model.Customer]*bucket{},
+		shared:   bucket{hundredths: settings.Reserve * wholeRetry},
+	}
+}
+
+// Sent counts a first attempt. The percentage is the customer's Limits.RetryPercent.
+//
+//	10 calls with 10 percent -> 1 retry
+func (b *Book) Sent(now time.Time, customer model.Customer, percent int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := b.bucket(now, customer)
+	own.hundredths = min(own.hundredths+percent, b.settings.Burst*wholeRetry)
+}
+
+// Spend takes one retry and says whether there was one.
+func (b *Book) Spend(now time.Time, customer model.Customer) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := b.bucket(now, customer)
+	if own.hundredths < wholeRetry {
+		return false
+	}
+	own.hundredths -= wholeRetry
+	return true
+}
+
+// Size returns how many customers have a bucket.
+func (b *Book) Size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.buckets)
+}
+
+func (b *Book) bucket(now time.Time, customer model.Customer) *bucket {
+	b.sweep(now)
+	own, known := b.buckets[customer]
+	if !known {
+		if len(b.buckets) >= b.settings.Customers {
+			return &b.shared
+		}
+		own = &bucket{hundredths: b.settings.Reserve * wholeRetry}
+		b.buckets[customer] = own
+	}
+	own.usedAt = now
+	return own
+}
+
+// sweep drops idle buckets, at most once in the idle time.
+func (b *Book) sweep(now time.Time) {
+	if now.Sub(b.sweptAt) < b.settings.Idle {
+		return
+	}
+	b.sweptAt = now
+	for customer, own := range b.buckets {
+		if now.Sub(own.usedAt) >= b.settings.Idle {
+			delete(b.buckets, customer)
+		}
+	}
+}
--- /dev/null
+++ b/core/command/poison/poison_test.go
@@ -0,0 +1,338 @@
+package poison_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"comfreytack/core/command/poison"
+	"comfreytack/core/model"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+const killer = model.Fingerprint(666)
+
+func checkGolden(t *testing.T, name, got string) {
+	path := filepath.Join("testdata", name)
+	if *update {
+		qt.Assert(t, os.WriteFile(path, []byte(got), 0o644), qt.IsNil)
+	}
+	want, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, string(want))
+}
+
+// TestSession replays what one book sees of a killer and its neighbours.
+func TestSession(t *testing.T) {
+	book := poison.New(poison.DefaultSettings())
+	var session strings.Builder
+	step := func(at time.Duration, what string, act func(now time.Time) string) {
+		now := start.Add(at)
+		result := act(now)
+		var barred []string
+		for fingerprint, until := range book.Quarantined(now) {
+			barred = append(barred, fmt.Sprintf("%d until %v", fingerprint, until.Sub(start)))
+		}
+		slices.Sort(barred)
+		fmt.Fprintf(&session, "%-8v %-48s %-6s quarantined %v\n", at, what, result, barred)
+	}
+	crash := func(upstream model.UpstreamName, inFlight ...model.Fingerprint) func(time.Time) string {
+		return func(now time.Time) string { book.Crashed(now, upstream, 1, inFlight); return "" }
+	}
+	begin := func(fingerprint model.Fingerprint, marked bool) func(time.Time) string {
+		return func(now time.Time) string { return book.Begin(now, fingerprint, marked).String() }
+	}
+	step(0, "666 begins", begin(killer, false))
+	step(time.Second, "reservas-0 crashes with 666, 1 and 2", crash("reservas-0", killer, 1, 2))
+	step(time.Second, "the same crash is told again", crash("reservas-0", killer, 1, 2))
+	step(2*time.Second, "1 begins", begin(1, false))
+	step(2*time.Second, "666 begins beside it", begin(killer, false))
+	step(2*time.Second, "3 begins beside it", begin(3, false))
+	step(2*time.Second, "4 begins, tried again after a death", begin(4, true))
+	step(3*time.Second, "1 succeeds", func(time.Time) string { book.Succeeded(1); book.EndAlone(); return "" })
+	step(3*time.Second, "666 begins", begin(killer, false))
+	step(4*time.Second, "reservas-1 crashes with 666, 1 and 3", crash("reservas-1", killer, 1, 3))
+	step(4*time.Second, "666 begins", begin(killer, true))
+	step(4*time.Second, "1 begins", func(now time.Time) string { book.EndAlone(); return begin(1, false)(now) })
+	step(604*time.Second, "666 begins after the quarantine", begin(killer, false))
+	checkGolden(t, "session.golden", session.String())
+}
+
+// TestMergeIsOrderFree tells three books the same evidence in different orders and numbers.
+func TestMergeIsOrderFree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []poison.Evidence
+		for range rapid.IntRange(0, 12).Draw(t, "entries") {
+			all = append(all, poison.Evidence{
+				Fingerprint: model.Fingerprint(rapid.IntRange(1, 3).Draw(t, "fingerprint")),
+				Crash:       poison.Crash{Upstream: "a", Incarnation: model.Incarnation(rapid.IntRange(1, 4).Draw(t, "life"))},
+				Cleared:     rapid.Bool().Draw(t, "cleared"),
+				RemainingMs: 600_000,
+			})
+		}
+		once, twice := poison.New(poison.DefaultSettings()), poison.New(poison.DefaultSettings())
+		once.Merge(start, all)
+		shuffled := rapid.Permutation(all).Draw(t, "order")
+		for _, e := range append(shuffled, shuffled...) {
+			twice.Merge(start, []poison.Evidence{e})
+		}
+		far := poison.New(poison.DefaultSettings())
+		far.Merge(start, twice.Gossip(start))
+		want := fmt.Sprint(once.Quarantined(start))
+		if fmt.Sprint(twice.Quarantined(start)) != want || fmt.Sprint(far.Quarantined(start)) != want {
+			t.Fatalf("%v and %v, want %s", twice.Quarantined(start), far.Quarantined(start), want)
+		}
+	})
+}
+
+// TestGossipEnds passes evidence to and fro between two books with a delay: it still ends.
+func TestGossipEnds(t *testing.T) {
+	settings := poison.DefaultSettings()
+	a, b := poison.New(settings), poison.New(settings)
+	a.Crashed(start, "reservas-0", 1, []model.Fingerprint{killer})
+	a.Crashed(start, "reservas-1", 1, []model.Fingerprint{killer})
+	now := start
+	for now.Before(start.Add(4 * settings.Term)) {
+		told := a.Gossip(now)
+		now = now.Add(time.Second)
+		b.Merge(now, told)
+		a.Merge(now.Add(time.Second), b.Gossip(now))
+		if age := now.Sub(start); age > settings.Term+2*time.Second {
+			qt.Assert(t, b.Quarantined(now), qt.HasLen, 0)
+		}
+	}
+	qt.Assert(t, a.Size()+b.Size(), qt.Equals, 0)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	settings := poison.Settings{Term: time.Minute, Fingerprints: 50, CrashesEach: 3, GossipSize: 8}
+	book := poison.New(settings)
+	for life := range 100 {
+		var inFlight []model.Fingerprint
+		for i := range 10 {
+			inFlight = append(inFlight, model.Fingerprint(life*10+i+1000))
+		}
+		book.Crashed(start.Add(time.Duration(life)*time.Second), "a", model.Incarnation(life), append(inFlight, killer))
+	}
+	now := start.Add(100 * time.Second)
+	qt.Assert(t, book.Size() <= settings.Fingerprints, qt.IsTrue)
+	qt.Assert(t, len(book.Gossip(now)), qt.Equals, settings.GossipSize)
+	_, barred := book.Quarantined(now)[killer]
+	qt.Assert(t, barred, qt.IsTrue)
+}
+
+// cluster is a model of gates that share gossip before the next step.
+type cluster struct {
+	books   []*poison.Book
+	running [][]model.Fingerprint
+	lives   []model.Incarnation
+	alone   []model.Fingerprint
+	crashes int
+}
+
+func newCluster(size int) *cluster {
+	c := &cluster{
+		running: make([][]model.Fingerprint, size),
+		lives:   make([]model.Incarnation, size),
+		alone:   make([]model.Fingerprint, size),
+	}
+	for range size {
+		c.books = append(c.books, poison.New(poison.DefaultSettings()))
+	}
+	return c
+}
+
+func (c *cluster) begin(now time.Time, at int, fingerprint model.Fingerprint) {
+	switch c.books[at].Begin(now, fingerprint, false) {
+	case poison.Alone:
+		c.alone[at] = fingerprint
+		c.running[at] = append(c.running[at], fingerprint)
+	case poison.Free:
+		c.running[at] = append(c.running[at], fingerprint)
+	case poison.Busy, poison.Barred:
+	}
+}
+
+// end finishes the oldest request at a gate: a killer takes its upstream down.
+func (c *cluster) end(now time.Time, at int) {
+	first := c.running[at][0]
+	if first == killer {
+		c.crash(now, at)
+		return
+	}
+	c.running[at] = c.running[at][1:]
+	c.books[at].Succeeded(first)
+	c.release(at, first)
+
+	c.spread(now, at)
+}
+
+func (c *cluster) crash(now time.Time, at int) {
+	c.books[at].Crashed(now, model.UpstreamName(fmt.Sprint(at)), c.lives[at], c.running[at])
+	c.release(at, c.alone[at])
+	c.running[at] = nil
+	c.lives[at]++
+	c.crashes++
+	c.spread(now, at)
+}
+
+func (c *cluster) release(at int, fingerprint model.Fingerprint) {
+	if fingerprint != 0 && c.alone[at] == fingerprint {
+		c.alone[at] = 0
+		c.books[at].EndAlone()
+	}
+}
+
+func (c *cluster) spread(now time.Time, from int) {
+	for _, book := range c.books {
+		book.Merge(now, c.books[from].Gossip(now))
+	}
+}
+
+func (c *cluster) killersRunning() int {
+	count := 0
+	for _, running := range c.running {
+		if slices.Contains(running, killer) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestKillerTakesDownTwo re-sends a killer at any moment to any gate, many times over. Its crashes are
+// two and those of the gates where it was in flight already when the second one came.
+func TestKillerTakesDownTwo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(2, 8).Draw(t, "gates")
+		c := newCluster(size)
+		now, inFlightAtSecond := start, 0
+		innocents := model.Fingerprint(1000)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Millisecond)
+			at := rapid.IntRange(0, size-1).Draw(t, "gate")
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				c.begin(now, at, killer)
+			case 1:
+				innocents++
+				c.begin(now, at, innocents)
+			default:
+				if len(c.running[at]) == 0 {
+					continue
+				}
+				before := c.crashes
+				c.end(now, at)
+				if c.crashes == 2 && before == 1 {
+					inFlightAtSecond = c.killersRunning()
+				}
+			}
+			if c.crashes > 2+inFlightAtSecond {
+				t.Fatalf("%d crashes with %d in flight at the second", c.crashes, inFlightAtSecond)
+			}
+		}
+	})
+}
+
+// odds is what a series of trials shows about innocent requests.
+type odds struct {
+	neighbours, quarantined, trials, killerBarred int
+}
+
+// trial lets a killer take down gate 0 with nine neighbours beside it. All ten are sent again within
+// 50 ms to other gates, which work for 10 ms on each in the mean; the killer takes down a second gate.
+func (o *odds) trial(random *rand.Rand, gates int, isolate bool) {
+	book := poison.New(poison.DefaultSettings())
+	first := []model.Fingerprint{killer, 1, 2, 3, 4, 5, 6, 7, 8, 9}
+	book.Crashed(start, "0", 1, first)
+	type run struct {
+		fingerprint model.Fingerprint
+		gate        int
+		from, to    time.Duration
+	}
+	var runs []run
+	for _, fingerprint := range first {
+		from := time.Duration(random.IntN(50_000)) * time.Microsecond
+		to := from + time.Duration(random.ExpFloat64()*float64(10*time.Millisecond))
+		runs = append(runs, run{fingerprint: fingerprint, gate: 1 + random.IntN(gates-1), from: from, to: to})
+	}
+	slices.SortFunc(runs, func(a, b run) int { return int(a.from - b.from) })
+	if isolate {
+		freeAt := make([]time.Duration, gates)
+		for i := range runs {
+			wait := max(0, freeAt[runs[i].gate]-runs[i].from)
+			runs[i].from += wait
+			runs[i].to += wait
+			freeAt[runs[i].gate] = runs[i].to
+		}
+	}
+	crashed := runs[slices.IndexFunc(runs, func(r run) bool { return r.fingerprint == killer })]
+	var inFlight []model.Fingerprint
+	for _, r := range runs {
+		switch {
+		case r.to < crashed.to:
+			book.Succeeded(r.fingerprint)
+		case r.gate == crashed.gate && r.from < crashed.to:
+			inFlight = append(inFlight, r.fingerprint)
+		}
+	}
+	book.Crashed(start.Add(crashed.to), "1", 1, inFlight)
+	barred := book.Quarantined(start.Add(crashed.to))
+	o.trials++
+	o.neighbours += len(first) - 1
+	if _, found := barred[killer]; found {
+		o.killerBarred++
+	}
+	o.quarantined += len(barred) - 1
+}
+
+// TestOddsForInnocents shows what isolating suspects does for those that were in flight beside a killer.
+func TestOddsForInnocents(t *testing.T) {
+	const trials = 10_000
+	tests := []struct {
+		name    string
+		gates   int
+		isolate bool
+	}{
+		{name: "5 upstreams, suspects together", gates: 5},
+		{name: "4 upstreams, suspects together", gates: 4},
+		{name: "2 upstreams, suspects together", gates: 2},
+		{name: "5 upstreams, suspects alone", gates: 5, isolate: true},
+		{name: "4 upstreams, suspects alone", gates: 4, isolate: true},
+		{name: "2 upstreams, suspects alone", gates: 2, isolate: true},
+	}
+	var table strings.Builder
+	fmt.Fprintln(&table, "| gates | killers barred | innocents quarantined |\n| --- | --- | --- |")
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 1))
+			var o odds
+			for range trials {
+				o.trial(random, test.gates, test.isolate)
+			}
+			fmt.Fprintf(&table, "| %s | %d of %d | %d of %d (%.2f%%) |\n", test.name, o.killerBarred, o.trials,
+				o.quarantined, o.neighbours, 100*float64(o.quarantined)/float64(o.neighbours))
+			qt.Assert(t, o.killerBarred, qt.Equals, trials)
+			qt.Assert(t, o.quarantined == 0, qt.Equals, test.isolate)
+		})
+	}
+	checkGolden(t, "odds.golden", table.String())
+}
--- /dev/null
+++ b/core/command/probe/probe_test.go
@@ -0,0 +1,125 @@
+package probe_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"comfreytack/core/command/probe"
+	"comfreytack/core/model"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+// TestBudgetHolds drives every schedule of calls, reports and questions; the bound must hold over the
+// whole run and over the stretch since any earlier moment.
+func TestBudgetHolds(t *testing.T) {
+	type mark struct {
+		calls, asked int
+		at           time.Time
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		settings := probe.Settings{CallsPerAsk: 10, Floor: time.Second, Burst: 3, Stale: 100 * time.Millisecond}
+		budget := probe.New(start, settings)
+		budget.SetUpstreams([]model.UpstreamName{"a", "b", "c"})
+		now := start
+		calls, asked := 0, 0
+		marks := []mark{{at: start}}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "action") {
+			case 0:
+				burst := rapid.IntRange(1, 40).Draw(t, "calls")
+				for range burst {
+					budget.Sent()
+				}
+				calls += burst
+			case 1:
+				budget.Learned(now, "a")
+			case 2:
+				for {
+					if _, ok := budget.Next(now); !ok {
+						break
+					}
+					asked++
+				}
+			}
+			for _, m := range marks {
+				seconds := int(now.Sub(m.at)/settings.Floor) + 1
+				most := settings.Burst + (calls-m.calls)/settings.CallsPerAsk + 1 + seconds
+				if asked-m.asked > most {
+					t.Fatalf("%d questions, at most %d", asked-m.asked, most)
+				}
+			}
+			marks = append(marks, mark{calls: calls, asked: asked, at: now})
+		}
+		if uint64(asked) != budget.Asked() {
+			t.Fatalf("%d counted of %d", budget.Asked(), asked)
+		}
+	})
+}
+
+func TestNextAsksTheLeastKnown(t *testing.T) {
+	budget := probe.New(start, probe.Settings{CallsPerAsk: 1, Floor: time.Hour, Burst: 10, Stale: time.Second})
+	budget.SetUpstreams([]model.UpstreamName{"a", "b", "c"})
+	budget.Learned(start, "a")
+	budget.Learned(start.Add(500*time.Millisecond), "b")
+	for range 10 {
+		budget.Sent()
+	}
+	var got []model.UpstreamName
+	for _, after := range []time.Duration{0, 1, 2} {
+		for {
+			upstream, ok := budget.Next(start.Add(after * time.Second))
+			if !ok {
+				break
+			}
+			got = append(got, upstream)
+		}
+	}
+	qt.Assert(t, got, qt.DeepEquals, []model.UpstreamName{"c", "a", "c", "b", "a", "c"})
+}
+
+// TestQuestionsFollowTraffic shows that questions do not grow with those who want to ask.
+func TestQuestionsFollowTraffic(t *testing.T) {
+	tests := []struct {
+		name   string
+		askers int
+	}{{name: "one asker", askers: 1}, {name: "twenty askers", askers: 20}}
+	const calls = 10_000
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			budget := probe.New(start, probe.DefaultSettings())
+			budget.SetUpstreams([]model.UpstreamName{"a", "b", "c", "d", "e"})
+			for i := range calls {
+				budget.Sent()
+				for range test.askers {
+					budget.Next(start.Add(time.Duration(i) * time.Millisecond))
+				}
+			}
+			qt.Assert(t, budget.Asked(), qt.Equals, uint64(calls/100+calls/1000-1))
+		})
+	}
+}
+
+func TestPacer(t *testing.T) {
+	pacer := probe.Pacer{Interval: time.Second}
+	probes := 0
+	for ms := range 10_000 {
+		if pacer.Due(start.Add(time.Duration(ms) * time.Millisecond)) {
+			probes++
+		}
+	}
+	qt.Assert(t, probes, qt.Equals, 10)
+}
