Retry within budgets, isolate suspects after a crash, and add the operator's command

Cause: the attempt loop was a plain count; a request that crashes its upstream went round freely; operators had no command. Chosen: send.Send asks retry.Next and the customer's budget; core/traffic/flight charges a crash to the fingerprints that were in flight and lets suspects run one at a time; cftctl has check, explain and status, each in a file of its own. Ruled out: charging every broken connection as a crash: an upstream that only closes connections still accepts new ones, so a refused dial must confirm it.

--- a/cftctl/main.go
+++ b/cftctl/main.go
@@ -1,4 +1,12 @@
-// Command cftctl is described in README.md.
+// Command cftctl checks contracts and settings, explains limits and shows daemons.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"comfreytack/cftctl/verbs"
+)
+
+func main() {
+	os.Exit(verbs.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -10,6 +10,7 @@
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/admit"
 	"comfreytack/core/model"
+	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/wire"
 )
@@ -26,6 +27,8 @@
 	Now func() time.Time
 	// Meter records waits.
 	Meter *meter.Meter
+	// Flight follows what runs on the upstream.
+	Flight *flight.Flight
 }
 
 // Gate runs calls.
@@ -41,29 +44,55 @@
 
 // Run waits for a slot and sends the request to the upstream. Closing the answer's body frees the slot.
 func (g *Gate[D]) Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
+	end, failure := g.settings.Flight.Begin(ctx, call)
+	if failure != nil {
+		return nil, failure
+	}
 	slot, failure := g.hold.Enter(ctx, call)
 	if failure != nil {
+		end(failure)
 		return nil, failure
 	}
 	g.settings.Meter.Wait(call, slot.Waited)
+	answer, failure := g.trip(ctx, call, request)
+	if failure != nil {
+		slot.Release()
+		end(failure)
+		return nil, failure
+	}
+	watched := relay.Watch(answer.Body)
+	answer.Body = relay.OnClose(watched, func() {
+		slot.Release()
+		end(brokenOff(ctx, watched))
+	})
+	return answer, nil
+}
+
+func (g *Gate[D]) trip(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	request.Address = g.settings.Upstream
 	wire.DropOwn(request.Header)
 	wire.PutUpstream(request.Header, call, g.settings.Now())
 	answer, failure := relay.Trip(ctx, g.settings.Transport, request, model.UpstreamDied)
 	if failure != nil {
-		slot.Release()
 		return nil, failure
 	}
 	if g.shed(call, answer) {
 		_ = answer.Body.Close()
-		slot.Release()
 		return nil, &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamShed}
 	}
 	wire.DropOwn(answer.Header)
-	answer.Body = relay.OnClose(answer.Body, slot.Release)
 	return answer, nil
 }
 
+// brokenOff returns a failure when the upstream broke off its answer, and nil when it was whole or the
+// caller gave it up.
+func brokenOff(ctx context.Context, body *relay.Watched) *model.Failure {
+	if ctx.Err() != nil || body.Broken() == nil {
+		return nil
+	}
+	return &model.Failure{Verdict: model.MayHaveRun, Reason: model.UpstreamDied, Cause: body.Broken()}
+}
+
 // Report describes the gate's load.
 func (g *Gate[D]) Report() model.GateReport {
 	return g.hold.Report()
--- a/cftd/relay/answer.go
+++ b/cftd/relay/answer.go
@@ -6,6 +6,7 @@
 	"net/textproto"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"comfreytack/core/model"
 	"comfreytack/core/wire"
@@ -78,6 +79,34 @@
 	return names
 }
 
+// Watched is a body that remembers how its reading ended.
+type Watched struct {
+	io.ReadCloser
+	err atomic.Pointer[error]
+}
+
+// Watch returns the body with a memory for its error.
+func Watch(body io.ReadCloser) *Watched {
+	return &Watched{ReadCloser: body}
+}
+
+// Read implements io.Reader.
+func (w *Watched) Read(data []byte) (int, error) {
+	n, err := w.ReadCloser.Read(data)
+	if err != nil && err != io.EOF {
+		w.err.Store(&err)
+	}
+	return n, err
+}
+
+// Broken returns the error that ended the body early, or nil.
+func (w *Watched) Broken() error {
+	if err := w.err.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
 // OnClose returns the body with a function that is called once, when it is closed.
 func OnClose(body io.ReadCloser, closed func()) io.ReadCloser {
 	return &closing{ReadCloser: body, closed: sync.OnceFunc(closed)}
--- a/cftd/relay/trip.go
+++ b/cftd/relay/trip.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"comfreytack/core/model"
 )
 
@@ -126,3 +129,13 @@
 	}
 	return failure
 }
+
+// Refuses says whether the address refuses a new connection, as that of a process that has ended does.
+func Refuses(address model.Address) bool {
+	conn, err := net.DialTimeout("tcp", string(address), dialTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -14,12 +14,15 @@
 	"comfreytack/cftd/oper"
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/admit"
+	"comfreytack/core/command/budget"
 	"comfreytack/core/command/daemon"
 	"comfreytack/core/command/load"
+	"comfreytack/core/command/poison"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/query/route"
 	"comfreytack/core/setup"
+	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/traffic/send"
 )
@@ -86,6 +89,12 @@
 		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Meter:     p.meter,
+		Flight: flight.New(flight.Settings{
+			Self: p.self,
+			Book: poison.New(poison.DefaultSettings()),
+			Now:  time.Now,
+			Down: func() bool { return relay.Refuses(p.settings.Upstream) },
+		}),
 	}, hold.New(hold.Settings{
 		Snapshot:   p.control.Snapshot,
 		Now:        time.Now,
@@ -122,7 +131,12 @@
 }
 
 func sendBy[P route.Policy](p plan, policy P) entry.Send {
-	sender := send.New(p.control.Snapshot, time.Now, route.New(policy), load.New(p.self, load.DefaultSettings()))
+	sender := send.New(send.Settings{
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
+		Book:     load.New(p.self, load.DefaultSettings()),
+		Retries:  budget.New(budget.DefaultSettings()),
+	}, route.New(policy))
 	return func(ctx context.Context, call model.Call, carrier send.Carrier[*http.Response]) (*http.Response, *model.Failure) {
 		return send.Send(ctx, sender, call, carrier)
 	}
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -26,6 +26,8 @@
 	Send int
 	// Deadline is when the caller stops waiting; never zero.
 	Deadline time.Time
+	// Suspect marks an attempt that follows the death of an upstream over this call.
+	Suspect bool
 	// Fingerprint is zero when the body was too large to hash.
 	Fingerprint Fingerprint
 }
--- a/core/model/snapshot.go
+++ b/core/model/snapshot.go
@@ -47,7 +47,7 @@
 	// RetryPercent bounds retries as a share of the customer's first attempts, in percent.
 	RetryPercent int `json:"retry_percent"`
 	// Deadline applies to short calls that name no shorter one.
-	Deadline time.Duration `json:"deadline"`
+	Deadline time.Duration `json:"deadline_ns"`
 	// Longest applies to long calls.
-	Longest time.Duration `json:"longest"`
+	Longest time.Duration `json:"longest_ns"`
 }
--- a/core/strict/strict.go
+++ b/core/strict/strict.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/go-json-experiment/json"
@@ -95,11 +96,26 @@
 		fault.Found = err.Err.Error()
 	default:
 		fault.Found = "a JSON " + err.JSONKind.String()
-		fault.Allowed = err.GoType.String()
+		fault.Allowed = nameOf(err.GoType)
 	}
 	return fault
 }
 
+// nameOf tells a user what JSON a Go type wants.
+func nameOf(wanted reflect.Type) string {
+	switch wanted.Kind() {
+	case reflect.Int, reflect.Int64, reflect.Uint64:
+		return "a whole number"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Slice:
+		return "a list"
+	}
+	return "an object"
+}
+
 func fieldOf(pointer jsontext.Pointer) string {
 	return strings.ReplaceAll(strings.TrimPrefix(string(pointer), "/"), "/", ".")
 }
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -8,14 +8,13 @@
 	"sync"
 	"time"
 
+	"comfreytack/core/command/budget"
 	"comfreytack/core/command/load"
 	"comfreytack/core/model"
+	"comfreytack/core/query/retry"
 	"comfreytack/core/query/route"
 )
 
-// maxAttempts bounds the upstreams that one hop tries for one call.
-const maxAttempts = 3
-
 // Carrier takes one attempt to one upstream's gate. A is the type of its answers.
 type Carrier[A any] interface {
 	// Attempt returns an answer or a failure. The report is nil when the gate sent none.
@@ -26,23 +25,31 @@
 	Again() bool
 }
 
+// Settings has the explicit dependencies of a sender.
+type Settings struct {
+	// Snapshot returns the control state.
+	Snapshot func() *model.Snapshot
+	// Now reads the clock, with its monotonic part.
+	Now func() time.Time
+	// Book has what is known of the upstreams' load.
+	Book *load.Book
+	// Retries bounds the retries of each customer.
+	Retries *budget.Book
+}
+
 // Sender picks upstreams and counts the calls in flight to each.
 type Sender[P route.Policy] struct {
-	snapshot func() *model.Snapshot
-	now      func() time.Time
+	settings Settings
 	picker   *route.Picker[P]
-	book     *load.Book
 	// scratch has slices of candidates, so that a decision allocates nothing.
 	scratch sync.Pool
 }
 
 // New returns a sender.
-func New[P route.Policy](snapshot func() *model.Snapshot, now func() time.Time, picker *route.Picker[P], book *load.Book) *Sender[P] {
+func New[P route.Policy](settings Settings, picker *route.Picker[P]) *Sender[P] {
 	return &Sender[P]{
-		snapshot: snapshot,
-		now:      now,
+		settings: settings,
 		picker:   picker,
-		book:     book,
 		scratch:  sync.Pool{New: func() any { return new([]route.Candidate) }},
 	}
 }
@@ -50,50 +57,67 @@
 // Send tries the call until an upstream answers, the deadline passes or no attempt is left.
 func Send[P route.Policy, A any](ctx context.Context, s *Sender[P], call model.Call, carrier Carrier[A]) (A, *model.Failure) {
 	var none A
-	failure := &model.Failure{Verdict: model.NotRun, Reason: model.NoUpstream}
-	tried := make([]model.UpstreamName, 0, maxAttempts)
-	for range maxAttempts {
-		upstream, found := s.pick(call.Service, tried)
-		if !found {
-			return none, failure
+	tried := make([]model.UpstreamName, 0, retry.MaxAttempts)
+	state := retry.State{Deadline: call.Deadline, Idempotent: call.Idempotent}
+	s.settings.Retries.Sent(s.settings.Now(), call.Customer, s.settings.Snapshot().Limits[call.Customer].RetryPercent)
+	for {
+		upstream, others := s.pick(call.Service, tried)
+		if upstream.Name == "" {
+			return none, &model.Failure{Verdict: model.NotRun, Reason: model.NoUpstream, Spent: true}
 		}
 		tried = append(tried, upstream.Name)
-		answer, failed := attempt(ctx, s, call, upstream, carrier)
-		if failed == nil {
+		answer, failure := attempt(ctx, s, call, upstream, carrier)
+		if failure == nil {
 			return answer, nil
 		}
-		failure = failed
-		if failed.Verdict != model.NotRun || failed.Spent || !carrier.Again() || ctx.Err() != nil {
-			return none, failure
+		state.Attempts++
+		if retry.Death(failure.Reason) {
+			state.Deaths++
+			call.Suspect = true
+		}
+		state.Untried = others
+		if !carrier.Again() || ctx.Err() != nil {
+			state.Untried = 0
+		}
+		if decision := s.next(state, call.Customer, failure); decision.Action == retry.GiveUp {
+			return none, decision.Failure
 		}
 	}
-	failure.Spent = true
-	return none, failure
+}
+
+func (s *Sender[P]) next(state retry.State, customer model.Customer, failure *model.Failure) retry.Decision {
+	now := s.settings.Now()
+	return retry.Next(now, state, failure, func() bool {
+		return s.settings.Retries.Spend(now, customer)
+	})
 }
 
 func attempt[P route.Policy, A any](ctx context.Context, s *Sender[P], call model.Call, upstream model.Upstream, carrier Carrier[A]) (A, *model.Failure) {
-	began := s.now()
-	counted := s.book.Began(upstream.Name)
+	began := s.settings.Now()
+	counted := s.settings.Book.Began(upstream.Name)
 	ended := func(result load.Result) {
-		now := s.now()
-		s.book.Ended(now, counted, load.Outcome{Result: result, Latency: now.Sub(began)})
+		now := s.settings.Now()
+		s.settings.Book.Ended(now, counted, load.Outcome{Result: result, Latency: now.Sub(began)})
 	}
 	answer, report, failure := carrier.Attempt(ctx, call, upstream, ended)
 	if report != nil {
-		s.book.Reported(s.now(), *report)
+		s.settings.Book.Reported(s.settings.Now(), *report)
 	}
 	return answer, failure
 }
 
-func (s *Sender[P]) pick(service model.ServiceName, tried []model.UpstreamName) (model.Upstream, bool) {
-	snapshot := s.snapshot()
-	now := s.now()
+// pick returns the upstream to try and how many others could be tried; an empty one when there is none.
+func (s *Sender[P]) pick(service model.ServiceName, tried []model.UpstreamName) (chosen model.Upstream, others int) {
+	snapshot := s.settings.Snapshot()
+	now := s.settings.Now()
 	scratch := s.scratch.Get().(*[]route.Candidate)
 	defer s.scratch.Put(scratch)
-	candidates := s.book.Candidates(now, service, snapshot.Services[service].Upstreams, *scratch)
+	candidates := s.settings.Book.Candidates(now, service, snapshot.Services[service].Upstreams, *scratch)
 	*scratch = candidates
 	candidates = slices.DeleteFunc(candidates, func(c route.Candidate) bool {
 		return snapshot.Leaving.Contains(c.Upstream.Name)
 	})
-	return s.picker.Pick(now, rand.IntN, route.Without(candidates, tried))
+	candidates = route.Without(candidates, tried)
+	chosen, _ = s.picker.Pick(now, rand.IntN, candidates)
+	return chosen, len(candidates) - 1
 }
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -32,6 +32,7 @@
 	HeaderKey         = "Comfreytack-Key"
 	HeaderReport      = "Comfreytack-Report"
 	HeaderSpent       = "Comfreytack-Spent"
+	HeaderSuspect     = "Comfreytack-Suspect"
 	ownPrefix         = "Comfreytack-"
 )
 
@@ -90,6 +91,9 @@
 	if call.Idempotent {
 		header.Set(HeaderIdempotent, "1")
 	}
+	if call.Suspect {
+		header.Set(HeaderSuspect, "1")
+	}
 	if call.Fingerprint != 0 {
 		header.Set(HeaderFingerprint, strconv.FormatUint(uint64(call.Fingerprint), 16))
 	}
@@ -112,6 +116,7 @@
 		Method:     r.Method,
 		Path:       r.URL.Path,
 		Idempotent: header.Get(HeaderIdempotent) == "1",
+		Suspect:    header.Get(HeaderSuspect) == "1",
 	}
 	if err := call.Class.UnmarshalText([]byte(header.Get(HeaderClass))); err != nil {
 		return call, badRequest(err)
