--- /dev/null
+++ b/cftd/feed/feed.go
@@ -0,0 +1,120 @@
+// Package feed reads published changes from the platform.
+//
+// The control state decides when; this package only carries the read out. Wiring:
+//
+//	reads := feed.New(feed.Settings{Platform: settings.Platform, Client: client, Post: control.Post, Log: log})
+//	perform := func(effect daemon.Effect) { // given to loop.New
+//		if read, ok := effect.(daemon.ReadPlatform); ok {
+//			go reads.Read(ctx, read)
+//		}
+//	}
+package feed
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/pkg/errors"
+
+	"comfreytack/core/command/daemon"
+	"comfreytack/core/model"
+)
+
+const (
+	// answerTime is how long the platform has for its answer besides the wait that it was asked for.
+	answerTime = 2 * time.Second
+	// maxAnswerBytes bounds one answer.
+	maxAnswerBytes = 64 << 20
+	// postRetry is the time between attempts to hand over an answer while the backlog is full.
+	postRetry = 20 * time.Millisecond
+)
+
+// Settings has the explicit dependencies of a feed.
+type Settings struct {
+	// Platform has the addresses of the configuration service, tried in turn; at least one.
+	Platform []model.Address
+	// Client makes the requests; it needs no timeout of its own.
+	Client *http.Client
+	// Post hands an event to the control goroutine; it does not block.
+	Post func(daemon.Event) bool
+	// Log takes failures of reads.
+	Log *slog.Logger
+}
+
+// Feed reads the platform.
+type Feed struct {
+	// Reads counts all reads and Failures those without a usable answer.
+	Reads, Failures atomic.Uint64
+
+	settings Settings
+	turn     atomic.Uint64
+}
+
+// New returns a feed.
+func New(settings Settings) *Feed {
+	return &Feed{settings: settings}
+}
+
+// answer is what the platform sends.
+type answer struct {
+	Revision model.Revision `json:"revision"`
+	Changes  []model.Change `json:"changes"`
+}
+
+// Read carries out one read and posts exactly one ChangesRead, unless ctx ends first.
+func (f *Feed) Read(ctx context.Context, read daemon.ReadPlatform) {
+	f.Reads.Add(1)
+	event := daemon.ChangesRead{}
+	got, err := f.get(ctx, read)
+	if err != nil {
+		f.Failures.Add(1)
+		f.settings.Log.Warn("platform not read", "error", err)
+		event.Failed = true
+	} else {
+		event.Delta = model.Delta{After: read.After, Revision: got.Revision, Changes: got.Changes}
+	}
+	f.post(ctx, event)
+}
+
+func (f *Feed) get(ctx context.Context, read daemon.ReadPlatform) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, read.Wait+answerTime)
+	defer cancel()
+	platform := f.settings.Platform[f.turn.Add(1)%uint64(len(f.settings.Platform))]
+	url := fmt.Sprintf("http://%s/v1/changes?after=%d&wait=%d", platform, read.After, read.Wait.Milliseconds())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return answer{}, errors.Wrap(err, "build request")
+	}
+	response, err := f.settings.Client.Do(request)
+	if err != nil {
+		return answer{}, errors.Wrap(err, "ask platform")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return answer{}, errors.Errorf("platform answered %s", response.Status)
+	}
+	var got answer
+	if err := json.UnmarshalRead(io.LimitReader(response.Body, maxAnswerBytes), &got); err != nil {
+		return answer{}, errors.Wrap(err, "decode answer")
+	}
+	return got, nil
+}
+
+// post waits for room in the backlog, because a lost end would stop this daemon from reading.
+func (f *Feed) post(ctx context.Context, event daemon.Event) {
+	retry := time.NewTicker(postRetry)
+	defer retry.Stop()
+	for !f.settings.Post(event) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-retry.C:
+		}
+	}
+}
--- /dev/null
+++ b/cftd/peers/peers.go
@@ -0,0 +1,186 @@
+// Package peers carries control messages between daemons, as JSON-RPC 2.0 notifications over TCP.
+//
+// Each daemon listens on its peer port and opens at most one connection to each peer that it sends to.
+// Messages are one-way; an answer travels on the answering daemon's own connection. Wiring:
+//
+//	network := peers.New(peers.Settings{Post: control.Post, Log: log})
+//	go network.Serve(ctx, listener)        // the listener of the peer port
+//	perform := func(effect daemon.Effect) { // given to loop.New
+//		if send, ok := effect.(daemon.SendPeer); ok {
+//			network.Send(send)
+//		}
+//	}
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	json2 "github.com/go-json-experiment/json"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/semaphore"
+
+	"comfreytack/core/command/daemon"
+	"comfreytack/core/command/gossip"
+	"comfreytack/core/model"
+)
+
+// The bounds of connections and messages.
+const (
+	// MaxMessageBytes is the largest message that is sent or taken.
+	MaxMessageBytes = 16 << 20
+	maxIncoming     = 128
+	maxOutgoing     = 64
+	queueLength     = 16
+	dialTimeout     = time.Second
+	writeTimeout    = 5 * time.Second
+	idleOutgoing    = 30 * time.Second
+	idleIncoming    = 90 * time.Second
+	methodGossip    = "gossip"
+)
+
+// Settings has the explicit dependencies of a network.
+type Settings struct {
+	// Post hands an event to the control goroutine; it does not block.
+	Post func(daemon.Event) bool
+	// Log takes failures of connections.
+	Log *slog.Logger
+	// Allow tells whether a connection to or from an address may be used; nil allows all. Tests cut
+	// the network with it.
+	Allow func(model.Address) bool
+}
+
+// Network sends and takes control messages.
+type Network struct {
+	// Traffic counts messages and bytes.
+	Traffic Traffic
+
+	settings Settings
+	incoming *semaphore.Weighted
+	ctx      context.Context
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+
+	mu    sync.Mutex
+	links map[model.Address]*link
+}
+
+// New returns a network. Close ends its connections.
+func New(settings Settings) *Network {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Network{
+		settings: settings,
+		incoming: semaphore.NewWeighted(maxIncoming),
+		ctx:      ctx,
+		stop:     stop,
+		links:    map[model.Address]*link{},
+	}
+}
+
+// Close ends all connections and waits for their goroutines.
+func (n *Network) Close() {
+	n.mu.Lock()
+	n.stop()
+	n.mu.Unlock()
+	n.running.Wait()
+}
+
+// Serve takes connections until ctx ends or the network is closed. It closes the listener.
+func (n *Network) Serve(ctx context.Context, listener net.Listener) error {
+	stopOnDone := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stopOnDone()
+	stopOnClose := context.AfterFunc(n.ctx, func() { _ = listener.Close() })
+	defer stopOnClose()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil || n.ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept peer")
+		}
+		if !n.incoming.TryAcquire(1) {
+			_ = conn.Close()
+			continue
+		}
+		n.serveConn(ctx, conn)
+	}
+}
+
+func (n *Network) serveConn(ctx context.Context, conn net.Conn) {
+	timed := &timedConn{Conn: conn, traffic: &n.Traffic, idle: idleIncoming}
+	rpc := newRPC(n.ctx, timed, jsonrpc2.HandlerWithError(n.handle))
+	n.running.Go(func() {
+		defer n.incoming.Release(1)
+		select {
+		case <-rpc.DisconnectNotify():
+		case <-ctx.Done():
+		case <-n.ctx.Done():
+		}
+		_ = rpc.Close()
+	})
+}
+
+// handle takes one JSON-RPC request of a peer.
+func (n *Network) handle(_ context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+	if request.Method != methodGossip || request.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
+	}
+	var message gossip.Message
+	if err := json2.Unmarshal(*request.Params, &message); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	n.Traffic.MessagesIn.Add(1)
+	if n.settings.Allow != nil && !n.settings.Allow(message.From.Address) {
+		return nil, nil
+	}
+	if !n.settings.Post(daemon.PeerSaid{Message: message}) {
+		n.Traffic.Dropped.Add(1)
+	}
+	return nil, nil
+}
+
+// Send queues a message. It does not block; a message that finds the queue full is dropped, and the
+// regular digests make up for it.
+func (n *Network) Send(send daemon.SendPeer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		return
+	}
+	l, known := n.links[send.To]
+	if !known {
+		if len(n.links) >= maxOutgoing {
+			n.Traffic.Dropped.Add(1)
+			return
+		}
+		l = &link{network: n, to: send.To, queue: make(chan gossip.Message, queueLength)}
+		n.links[send.To] = l
+		n.running.Go(l.run)
+	}
+	select {
+	case l.queue <- send.Message:
+	default:
+		n.Traffic.Dropped.Add(1)
+	}
+}
+
+// newRPC starts JSON-RPC on a connection.
+func newRPC(ctx context.Context, conn io.ReadWriteCloser, handler jsonrpc2.Handler) *jsonrpc2.Conn {
+	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+	return jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec{}), handler, quiet)
+}
+
+// encode renders a message as the parameters of a request.
+func encode(message gossip.Message) (*json.RawMessage, error) {
+	data, err := json2.Marshal(message)
+	raw := json.RawMessage(data)
+	return &raw, errors.Wrap(err, "encode message")
+}
--- /dev/null
+++ b/core/command/config/config.go
@@ -0,0 +1,303 @@
+// Package config keeps the published values in force at one daemon.
+//
+// The published order is cut into runs (model.Delta). A run is taken only when it starts at or below
+// the revision that the store is complete up to, so completeness is one number that only rises:
+//
+//	complete 10, run 8..14  ->  complete 14, changes 11 to 14 applied
+//	complete 10, run 12..14 ->  Gap: ask for the run after 10
+//	complete 10, run 3..9   ->  Old: nothing happens
+package config
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	mapset "github.com/deckarep/golang-set/v2"
+
+	"comfreytack/core/model"
+	"comfreytack/core/query/check"
+	"comfreytack/core/strict"
+)
+
+//go:generate go tool stringer -type=Outcome -linecomment -output=enums_string.go
+
+// Outcome is what became of a run or a copy.
+type Outcome int
+
+// The outcomes.
+const (
+	// Old runs hold nothing new.
+	Old Outcome = iota // old
+	// Gap means that changes between the store and the run are missing.
+	Gap // gap
+	// Applied runs have raised the revision in force.
+	Applied // applied
+	// NotCovered copies lack services that this daemon calls.
+	NotCovered // not_covered
+	// Healed copies changed values without raising the revision.
+	Healed // healed
+)
+
+const (
+	maxRecentBytes   = 2 << 20
+	maxRecentChanges = 4096
+	maxRefusals      = 256
+	maxLooseMarks    = 1024
+)
+
+// Store is the configuration in force at one daemon.
+type Store struct {
+	// Complete is the revision in force: every change up to it has been applied or refused. It never falls.
+	Complete model.Revision
+	// Wanted names the services whose values are kept; empty keeps all.
+	Wanted mapset.Set[model.ServiceName]
+	// Contracts, Services and Marks are the values in force.
+	Contracts *Table[model.Customer, model.Contract]
+	Services  *Table[model.ServiceName, model.Service]
+	Marks     *Table[model.UpstreamName, model.Mark]
+	// Refusals says by key why the newest value is not in force; at most maxRefusals.
+	Refusals map[string]model.Refusal
+	// Recent has the newest changes, also of services that are not kept.
+	Recent Recent
+}
+
+// Copy is a whole configuration as one daemon gives it to another.
+type Copy struct {
+	// Revision is what the copy is complete up to.
+	Revision model.Revision `json:"revision"`
+	// Wanted names the services that the copy covers; empty covers all.
+	Wanted []model.ServiceName `json:"wanted,omitempty"`
+	// Changes has each value in force and each remembered deletion, in rising order of revision.
+	Changes []model.Change `json:"changes,omitempty"`
+	// Refusals has each newer value that is not in force.
+	Refusals []model.Refusal `json:"refusals,omitempty"`
+}
+
+// New returns an empty store that keeps the given services, or all when there are none.
+func New(wanted mapset.Set[model.ServiceName]) *Store {
+	return &Store{
+		Wanted:    wanted,
+		Contracts: NewTable[model.Customer, model.Contract](),
+		Services:  NewTable[model.ServiceName, model.Service](),
+		Marks:     NewTable[model.UpstreamName, model.Mark](),
+		Refusals:  map[string]model.Refusal{},
+		Recent:    Recent{MaxBytes: maxRecentBytes, MaxChanges: maxRecentChanges},
+	}
+}
+
+// Apply takes a run of changes.
+func (s *Store) Apply(delta model.Delta) Outcome {
+	if delta.Revision <= s.Complete {
+		return Old
+	}
+	if delta.After > s.Complete {
+		return Gap
+	}
+	changes := slices.Clone(delta.Changes)
+	sortChanges(changes)
+	for _, change := range changes {
+		if change.Revision <= s.Complete || change.Revision > delta.Revision {
+			continue
+		}
+		s.set(change)
+		s.Recent.Add(change)
+	}
+	s.Complete = delta.Revision
+	s.dropLooseMarks()
+	return Applied
+}
+
+// Merge takes a whole copy from another daemon.
+func (s *Store) Merge(source Copy) Outcome {
+	if source.Revision < s.Complete {
+		return Old
+	}
+	if !covers(source.Wanted, s.Wanted) {
+		return NotCovered
+	}
+	if source.Revision == s.Complete {
+		return s.heal(source)
+	}
+	keys := make(map[string]bool, len(source.Changes)+len(source.Refusals))
+	for _, change := range source.Changes {
+		keys[change.Key] = true
+	}
+	for _, refusal := range source.Refusals {
+		keys[refusal.Key] = true
+	}
+	s.Contracts.retain(keys)
+	s.Services.retain(keys)
+	s.Marks.retain(keys)
+	clear(s.Refusals)
+	s.take(source)
+	s.Complete = source.Revision
+	s.Recent.Reset(source.Revision)
+	s.dropLooseMarks()
+	return Applied
+}
+
+// heal adopts the newer of each value from a copy with the same revision. The two differ only where
+// one has seen a value that a refused one replaced before the other could read it.
+func (s *Store) heal(source Copy) Outcome {
+	before := s.Contracts.Hash ^ s.Services.Hash ^ s.Marks.Hash
+	s.take(source)
+	s.dropLooseMarks()
+	if before == s.Contracts.Hash^s.Services.Hash^s.Marks.Hash {
+		return Old
+	}
+	return Healed
+}
+
+func (s *Store) take(source Copy) {
+	for _, change := range source.Changes {
+		s.set(change)
+	}
+	for _, refusal := range source.Refusals {
+		s.refuse(refusal)
+	}
+}
+
+// Covers tells whether this store keeps all that one that keeps the given services needs.
+func (s *Store) Covers(services []model.ServiceName) bool {
+	return covers(s.Wanted.ToSlice(), mapset.NewThreadUnsafeSet(services...))
+}
+
+// CopyFor returns the configuration in force as far as a store that keeps the given services needs it.
+func (s *Store) CopyFor(services []model.ServiceName) Copy {
+	changes := slices.Concat(s.Contracts.changes(), s.Services.changes(), s.Marks.changes())
+	if len(services) > 0 {
+		wanted := mapset.NewThreadUnsafeSet(services...)
+		changes = slices.DeleteFunc(changes, func(change model.Change) bool {
+			name, isService := strings.CutPrefix(change.Key, check.ServicePrefix)
+			return isService && !wanted.Contains(model.ServiceName(name))
+		})
+	}
+	sortChanges(changes)
+	refusals := slices.SortedFunc(maps.Values(s.Refusals), func(a, b model.Refusal) int { return cmp.Compare(a.Key, b.Key) })
+	return Copy{Revision: s.Complete, Wanted: services, Changes: changes, Refusals: refusals}
+}
+
+// Since returns the changes after a revision, or false when a whole copy is needed.
+func (s *Store) Since(after model.Revision, maxBytes int) (model.Delta, bool) {
+	return s.Recent.Since(after, s.Complete, maxBytes)
+}
+
+// Scope identifies the set of kept services; stores of the same scope have comparable hashes.
+func (s *Store) Scope() uint64 {
+	scope := uint64(0)
+	for name := range s.Wanted.Iter() {
+		scope ^= hash(string(name), 0)
+	}
+	return scope
+}
+
+// set brings a change into force, or refuses it.
+func (s *Store) set(change model.Change) {
+	switch {
+	case strings.HasPrefix(change.Key, check.ContractPrefix):
+		name := model.Customer(strings.TrimPrefix(change.Key, check.ContractPrefix))
+		s.settle(change, setIn(s.Contracts, name, change, check.Contract))
+	case strings.HasPrefix(change.Key, check.ServicePrefix):
+		name := model.ServiceName(strings.TrimPrefix(change.Key, check.ServicePrefix))
+		if s.keeps(name) {
+			s.settle(change, setIn(s.Services, name, change, check.Service))
+		}
+	case strings.HasPrefix(change.Key, check.MarkPrefix):
+		name := model.UpstreamName(strings.TrimPrefix(change.Key, check.MarkPrefix))
+		s.settle(change, setIn(s.Marks, name, change, check.Mark))
+	default:
+		s.settle(change, check.UnknownKey(change.Key))
+	}
+}
+
+// setIn puts a change into the table of its kind.
+func setIn[K comparable, T any](table *Table[K, T], name K, change model.Change, decode func(K, []byte) (T, *strict.Fault)) *strict.Fault {
+	if change.Deleted {
+		table.Delete(name, Tombstone{Key: change.Key, Revision: change.Revision})
+		return nil
+	}
+	value, fault := decode(name, change.Value)
+	if fault != nil {
+		return fault
+	}
+	table.Put(name, Entry[T]{Key: change.Key, Revision: change.Revision, Raw: change.Value, Value: value})
+	return nil
+}
+
+// settle records the refusal of a change, or ends an older refusal of its key.
+func (s *Store) settle(change model.Change, fault *strict.Fault) {
+	if fault != nil {
+		s.refuse(model.Refusal{Key: change.Key, Revision: change.Revision, Line: fault.Line, Field: fault.Field, Found: fault.Found, Allowed: fault.Allowed})
+		return
+	}
+	if old, refused := s.Refusals[change.Key]; refused && old.Revision <= change.Revision {
+		delete(s.Refusals, change.Key)
+	}
+}
+
+func (s *Store) refuse(refusal model.Refusal) {
+	old, refused := s.Refusals[refusal.Key]
+	if refused && old.Revision >= refusal.Revision {
+		return
+	}
+	if !refused && len(s.Refusals) >= maxRefusals {
+		s.forgetOldestRefusal()
+	}
+	s.Refusals[refusal.Key] = refusal
+}
+
+func (s *Store) forgetOldestRefusal() {
+	oldest := ""
+	for key, refusal := range s.Refusals {
+		if oldest == "" || refusal.Revision < s.Refusals[oldest].Revision {
+			oldest = key
+		}
+	}
+	delete(s.Refusals, oldest)
+}
+
+// dropLooseMarks forgets the oldest marks of upstreams that are in no kept service, beyond a bound.
+// Marks may be published before the instance they speak of, so some are kept.
+func (s *Store) dropLooseMarks() {
+	if len(s.Marks.Entries) <= maxLooseMarks {
+		return
+	}
+	placed := map[model.UpstreamName]bool{}
+	for _, entry := range s.Services.Entries {
+		for _, upstream := range entry.Value.Upstreams {
+			placed[upstream.Name] = true
+		}
+	}
+	var loose []model.UpstreamName
+	for name := range s.Marks.Entries {
+		if !placed[name] {
+			loose = append(loose, name)
+		}
+	}
+	slices.SortFunc(loose, func(a, b model.UpstreamName) int {
+		return cmp.Compare(s.Marks.Entries[b].Revision, s.Marks.Entries[a].Revision)
+	})
+	for _, name := range loose[min(len(loose), maxLooseMarks):] {
+		s.Marks.remove(name)
+	}
+}
+
+func (s *Store) keeps(name model.ServiceName) bool {
+	return s.Wanted.Cardinality() == 0 || s.Wanted.Contains(name)
+}
+
+// covers tells whether a store that keeps source has all that one that keeps wanted needs.
+func covers(source []model.ServiceName, wanted mapset.Set[model.ServiceName]) bool {
+	if len(source) == 0 {
+		return true
+	}
+	return wanted.Cardinality() > 0 && wanted.IsSubset(mapset.NewThreadUnsafeSet(source...))
+}
+
+func sortChanges(changes []model.Change) {
+	slices.SortStableFunc(changes, func(a, b model.Change) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+	})
+}
--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -3,91 +3,206 @@
 package daemon
 
 import (
-	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	mapset "github.com/deckarep/golang-set/v2"
 
+	"comfreytack/core/command/config"
+	"comfreytack/core/command/gossip"
+	"comfreytack/core/command/leave"
+	"comfreytack/core/command/member"
+	"comfreytack/core/command/pause"
+	"comfreytack/core/command/reader"
 	"comfreytack/core/model"
-	"comfreytack/core/query/limits"
 )
 
-// Event is something that the control goroutine is told.
-type Event interface{ event() }
-
-// ChangesRead tells of changes that the platform or a peer published.
-type ChangesRead struct {
-	// Revision is the newest revision that the source knows.
-	Revision model.Revision
-	// Contracts and Services are new values.
-	Contracts []model.Contract
-	Services  []model.Service
+// Settings has the explicit dependencies of a daemon's control state.
+type Settings struct {
+	// Self is the upstream that the daemon stands beside. Its incarnation is that of the daemon's own
+	// life: later lives at the same name compare greater.
+	Self model.Upstream
+	// Seeds are peer addresses to ask first; Self may be among them.
+	Seeds []model.Address
+	// Calls names the services that callers of this daemon use; empty means all.
+	Calls []model.ServiceName
+	// Random spreads the daemon's timers and choices.
+	Random *rand.Rand
 }
 
-func (ChangesRead) event() {}
-
-// StopAsked tells that the daemon has to stop.
-type StopAsked struct{}
-
-func (StopAsked) event() {}
-
-// Effect is something that the daemon has to do outside its control state.
-type Effect interface{ effect() }
-
 // State is the control state. Only the control goroutine touches it.
 type State struct {
-	// Self is the upstream that the daemon stands beside.
-	Self model.Upstream
-
+	// Settings do not change.
+	Settings Settings
+	// Config is the configuration in force.
+	Config *config.Store
+	// Members has the daemons to exchange messages with.
+	Members *member.Book
+	// Reader decides when to read the platform.
+	Reader *reader.State
+	// Gossip decides when to speak.
+	Gossip *gossip.State
+	// Leaves has the upstreams that were said to leave.
+	Leaves *leave.Set
+	// Pause tells whether the daemon has just woken.
+	Pause *pause.State
+	// Start tells how far the daemon is with learning its first configuration.
+	Start Start
+	// Stopping is true once the daemon was told to stop; it never becomes false.
+	Stopping bool
+	// Draining is what the upstream last answered. Its leaving begins when this turns true and does not
+	// end when it turns false again.
+	Draining bool
+
+	self model.Peer
 	view model.Snapshot
 }
 
 // New returns the state of a daemon that has learnt nothing yet.
-func New(self model.Upstream) *State {
-	return &State{Self: self, view: model.Snapshot{
-		Self:      self,
-		Contracts: map[model.Customer]model.Contract{},
-		Limits:    map[model.Customer]model.Limits{},
-		Services:  map[model.ServiceName]model.Service{},
-		Leaving:   mapset.NewThreadUnsafeSet[model.UpstreamName](),
-	}}
+func New(settings Settings, now time.Time) *State {
+	self := member.PeerOf(settings.Self)
+	self.Incarnation = settings.Self.Incarnation
+	wanted := mapset.NewThreadUnsafeSet(settings.Calls...)
+	if len(settings.Calls) > 0 {
+		wanted.Add(settings.Self.Service)
+	}
+	s := &State{
+		Settings: settings,
+		Config:   config.New(wanted),
+		Members:  member.New(self, settings.Seeds),
+		Gossip:   gossip.New(now, settings.Random),
+		Leaves:   leave.New(),
+		Pause:    pause.New(now),
+		Start:    newStart(now, settings.Self.Peer, settings.Seeds),
+		self:     self,
+	}
+	s.Reader = reader.New(self, now, now.Add(firstRead(self.Address, s.Members.Seeds, settings.Random)))
+	s.rebuild()
+	return s
 }
 
 // Apply implements loop.Machine.
-func (s *State) Apply(_ time.Time, event Event) []Effect {
+func (s *State) Apply(now time.Time, event Event) []Effect {
+	effects := s.ran(now)
 	switch e := event.(type) {
 	case ChangesRead:
-		s.changesRead(e)
+		s.changesRead(now, e)
+	case PeerSaid:
+		effects = append(effects, s.peerSaid(now, e.Message)...)
+	case PeerLost:
+		s.Members.Lost(now, e.Address)
+		s.Start.Silent.Remove(e.Address)
+		s.Gossip.Answered(e.Address)
+	case CallFailed:
+		s.callFailed(now, e.Upstream)
+	case UpstreamProbed:
+		if e.Draining && !s.Draining {
+			s.leaveSelf()
+		}
+		s.Draining = e.Draining
 	case StopAsked:
-		s.view.Stopping = true
+		s.Stopping = true
+		s.leaveSelf()
+		s.rebuild()
 	}
-	return nil
+	s.Start.judge(now, s.Config.Complete)
+	return append(effects, s.announce(now)...)
 }
 
-// Beat implements loop.Machine.
-func (s *State) Beat(time.Time, time.Duration) []Effect {
-	return nil
+// Beat implements loop.Machine. It relies on SeenAt instead of the gap, because an event may be the
+// first to run after a pause.
+func (s *State) Beat(now time.Time, _ time.Duration) []Effect {
+	effects := s.ran(now)
+	s.Start.judge(now, s.Config.Complete)
+	effects = append(effects, s.askPeers(now)...)
+	effects = append(effects, s.announce(now)...)
+	if s.Gossip.DigestDue(now) {
+		effects = append(effects, s.tell(now, s.Members.Choose(now, 1, s.Settings.Random.IntN(2) == 0, s.Settings.Random))...)
+	}
+	if s.Reader.Beat(now, s.Settings.Random) {
+		effects = append(effects, ReadPlatform{After: s.Config.Complete, Wait: s.readWait()})
+	}
+	return effects
 }
 
 // Snapshot implements loop.Machine.
 func (s *State) Snapshot(now time.Time) *model.Snapshot {
 	view := s.view
+	view.Revision = s.Config.Complete
+	view.Ready = s.Start.Ready
+	view.Stopping = s.Stopping
+	view.Suspect = s.Pause.SuspectAt(now)
 	view.BeatAt = now
 	return &view
 }
 
-func (s *State) changesRead(e ChangesRead) {
-	contracts := maps.Clone(s.view.Contracts)
-	for _, contract := range e.Contracts {
-		contracts[contract.Customer] = contract
+// ran notes that the control goroutine runs. After a pause it asks peers at once what happened meanwhile.
+func (s *State) ran(now time.Time) []Effect {
+	if !s.Pause.Ran(now) {
+		return nil
+	}
+	s.Start.AskAt = now
+	return s.askPeers(now)
+}
+
+// changesRead takes the end of a read of the platform. A replica that is behind this daemon proves nothing.
+func (s *State) changesRead(now time.Time, e ChangesRead) {
+	current := !e.Failed && e.Delta.Revision >= s.Config.Complete
+	s.Reader.Ended(now, current, s.Settings.Random)
+	if e.Failed {
+		return
+	}
+	s.outcome(s.Config.Apply(e.Delta))
+	if !s.Start.PlatformRead {
+		s.Start.PlatformRead = true
+		s.Start.await(s.Members.Everyone())
+	}
+}
+
+// outcome follows up a run of changes or a copy.
+func (s *State) outcome(outcome config.Outcome) {
+	if outcome != config.Applied && outcome != config.Healed {
+		return
+	}
+	s.Members.Published(s.upstreams())
+	s.Gossip.News = true
+	s.rebuild()
+}
+
+func (s *State) callFailed(now time.Time, upstream model.UpstreamName) {
+	for _, peer := range s.Members.Sample {
+		if peer.Name == upstream {
+			s.Members.Lost(now, peer.Address)
+		}
+	}
+}
+
+// leaveSelf says that the upstream beside this daemon takes no new work.
+func (s *State) leaveSelf() {
+	name := s.self.Name
+	notice := leave.Notice{Upstream: name, Incarnation: s.self.Incarnation, Leaving: true, Mark: s.Config.Marks.Entries[name].Revision}
+	for _, upstream := range s.Config.Services.Entries[s.self.Service].Value.Upstreams {
+		if upstream.Name == name {
+			notice.Listed = upstream.Incarnation
+		}
+	}
+	if s.Leaves.Merge([]leave.Notice{notice}) {
+		s.Gossip.News = true
+		s.rebuild()
+	}
+}
+
+// upstreams returns the entries of all kept services in a stable order.
+func (s *State) upstreams() []model.Upstream {
+	names := make([]model.ServiceName, 0, len(s.Config.Services.Entries))
+	for name := range s.Config.Services.Entries {
+		names = append(names, name)
 	}
-	services := maps.Clone(s.view.Services)
-	for _, service := range e.Services {
-		services[service.Name] = service
+	slices.Sort(names)
+	var upstreams []model.Upstream
+	for _, name := range names {
+		upstreams = append(upstreams, s.Config.Services.Entries[name].Value.Upstreams...)
 	}
-	s.view.Contracts = contracts
-	s.view.Services = services
-	s.view.Limits = limits.Of(contracts, services[s.Self.Service].Slots)
-	s.view.Revision = max(s.view.Revision, e.Revision)
-	s.view.Ready = true
+	return upstreams
 }
--- /dev/null
+++ b/core/command/daemon/event.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"time"
+
+	"comfreytack/core/command/gossip"
+	"comfreytack/core/model"
+)
+
+// Event is something that the control goroutine is told.
+type Event interface{ event() }
+
+// ChangesRead tells how a read of the platform ended.
+type ChangesRead struct {
+	// Delta has the changes; its zero value when Failed.
+	Delta model.Delta
+	// Failed is true when the platform gave no usable answer.
+	Failed bool
+}
+
+// PeerSaid tells of a message from another daemon.
+type PeerSaid struct {
+	Message gossip.Message
+}
+
+// PeerLost tells that a daemon could not be reached, or that its connection broke.
+type PeerLost struct {
+	Address model.Address
+}
+
+// UpstreamProbed tells how the upstream beside this daemon answered a probe.
+type UpstreamProbed struct {
+	// Draining says that the upstream wants no new work.
+	Draining bool
+}
+
+// CallFailed tells that a call to another daemon's gate could not be delivered.
+type CallFailed struct {
+	Upstream model.UpstreamName
+}
+
+// StopAsked tells that the daemon has to stop.
+type StopAsked struct{}
+
+func (ChangesRead) event()    {}
+func (PeerSaid) event()       {}
+func (PeerLost) event()       {}
+func (UpstreamProbed) event() {}
+func (CallFailed) event()     {}
+func (StopAsked) event()      {}
+
+// Effect is something that the daemon has to do outside its control state.
+type Effect interface{ effect() }
+
+// SendPeer sends a message to another daemon. The end of its connection comes back as PeerLost.
+type SendPeer struct {
+	To      model.Address
+	Message gossip.Message
+}
+
+// ReadPlatform reads the changes after a revision. Its end comes back as exactly one ChangesRead.
+type ReadPlatform struct {
+	After model.Revision
+	// Wait is how long the platform may wait for a change.
+	Wait time.Duration
+}
+
+func (SendPeer) effect()     {}
+func (ReadPlatform) effect() {}
--- /dev/null
+++ b/core/command/daemon/start.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	mapset "github.com/deckarep/golang-set/v2"
+
+	"comfreytack/core/command/gossip"
+	"comfreytack/core/command/reader"
+	"comfreytack/core/model"
+)
+
+const (
+	// startWait is how long a starting daemon asks peers before it may trust the platform alone.
+	startWait = time.Second
+	// longestStartWait is how long it waits for peers that neither answer nor refuse its connection.
+	longestStartWait = 5 * time.Second
+	// askEvery is the time between two rounds of asking, each of askPeersAtOnce peers.
+	askEvery       = 250 * time.Millisecond
+	askPeersAtOnce = 4
+	// firstReadJitter spreads the first reads of daemons of the same rank.
+	firstReadJitter = 500 * time.Millisecond
+)
+
+// Start is how far a daemon is with learning its first configuration. It becomes ready when a ready
+// peer has given it all that this peer has. Without one, the platform must have been read, startWait
+// must have passed, and every known peer must have said that it is not ready or have refused contact,
+// or have been silent for longestStartWait.
+//
+// It is not ready below a revision that a ready peer has told it of: a platform that is behind the
+// fleet cannot bring an old configuration back through a restarted daemon.
+type Start struct {
+	// At is when the daemon started.
+	At time.Time
+	// Ready never becomes false again.
+	Ready bool
+	// Highest is the newest revision that a ready peer was known to have.
+	Highest model.Revision
+	// PeerAnswered is true when a ready peer has answered a question with all that it has.
+	PeerAnswered bool
+	// PlatformRead is true when the platform has been read.
+	PlatformRead bool
+	// Silent has the peers of which nothing is known yet.
+	Silent mapset.Set[model.Address]
+	// AskAt is when peers are asked next.
+	AskAt time.Time
+}
+
+func newStart(now time.Time, self model.Address, seeds []model.Address) Start {
+	s := Start{At: now, AskAt: now, Silent: mapset.NewThreadUnsafeSet[model.Address]()}
+	s.await(seeds)
+	s.Silent.Remove(self)
+	return s
+}
+
+// await adds peers that the daemon has to hear of before it trusts the platform.
+func (s *Start) await(peers []model.Address) {
+	s.Silent.Append(peers...)
+}
+
+// heard takes the digest of a peer; answered says that it came with an answer that has been applied.
+func (s *Start) heard(from model.Address, digest gossip.Digest, answered bool) {
+	if !digest.Ready {
+		s.Silent.Remove(from)
+		return
+	}
+	s.Highest = max(s.Highest, digest.Revision)
+	s.PeerAnswered = s.PeerAnswered || answered
+}
+
+// judge decides whether the daemon has become ready.
+func (s *Start) judge(now time.Time, complete model.Revision) {
+	if s.Ready || complete < s.Highest {
+		return
+	}
+	age := now.Sub(s.At)
+	alone := s.Silent.Cardinality() == 0 || age >= longestStartWait
+	s.Ready = s.PeerAnswered || (s.PlatformRead && age >= startWait && alone)
+}
+
+// firstRead returns how long after its start a daemon first reads the platform. Daemons take turns by
+// the rank of their addresses among the seeds, so that few have read before the others hear of it.
+func firstRead(self model.Address, seeds []model.Address, random *rand.Rand) time.Duration {
+	all := append(slices.Clone(seeds), self)
+	own := xxhash.Sum64String(string(self))
+	rank := 0
+	for _, address := range seeds {
+		if xxhash.Sum64String(string(address)) < own {
+			rank++
+		}
+	}
+	turn := reader.Gap * time.Duration(rank) / time.Duration(len(all))
+	if len(seeds) == 0 {
+		return 0
+	}
+	return startWait + turn + time.Duration(random.Int64N(int64(firstReadJitter)))
+}
+
+// askPeers asks some peers for all that they have while the daemon is not ready or suspects itself.
+func (s *State) askPeers(now time.Time) []Effect {
+	if (s.Start.Ready && !s.Pause.Suspect) || now.Before(s.Start.AskAt) {
+		return nil
+	}
+	s.Start.AskAt = now.Add(askEvery)
+	var effects []Effect
+	for _, address := range s.peersToAsk() {
+		message := s.message(now, address)
+		message.Want = s.want()
+		effects = append(effects, SendPeer{To: address, Message: message})
+	}
+	return effects
+}
+
+// peersToAsk chooses those that have not been heard of first.
+func (s *State) peersToAsk() []model.Address {
+	addresses := s.Members.Everyone()
+	s.Settings.Random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	slices.SortStableFunc(addresses, func(a, b model.Address) int {
+		return cmp.Compare(s.known(a), s.known(b))
+	})
+	return addresses[:min(askPeersAtOnce, len(addresses))]
+}
+
+func (s *State) known(address model.Address) int {
+	if s.Start.Silent.Contains(address) {
+		return 0
+	}
+	return 1
+}
+
+// readWait returns how long a read may wait for news. A daemon that is not ready wants an answer at once.
+func (s *State) readWait() time.Duration {
+	if s.Start.Ready {
+		return reader.Wait
+	}
+	return 0
+}
--- /dev/null
+++ b/core/command/daemon/talk.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"comfreytack/core/command/gossip"
+	"comfreytack/core/model"
+)
+
+// peerSaid takes a message from another daemon and returns what to answer.
+func (s *State) peerSaid(now time.Time, message gossip.Message) []Effect {
+	if !s.Members.Hear(now, message.From) {
+		return nil
+	}
+	s.Reader.Heard(now, message.Reads)
+	news := s.Leaves.Merge(message.Leaves)
+	alive := s.Leaves.Alive(message.From)
+	aliveSelf := s.Leaves.Alive(s.self)
+	if news || alive || aliveSelf {
+		s.Gossip.News = true
+		s.rebuild()
+	}
+	answered := s.takeAnswer(message)
+	caughtUp := s.Config.Complete >= message.Digest.Revision
+	s.Start.heard(message.From.Address, message.Digest, answered && caughtUp)
+	if message.Digest.Ready && answered && caughtUp {
+		s.Pause.Confirmed(message.Answers)
+	}
+	return append(s.serve(now, message), s.compare(now, message)...)
+}
+
+// takeAnswer applies the values in a message and tells whether the message was an answer.
+func (s *State) takeAnswer(message gossip.Message) bool {
+	if message.Delta == nil && message.Copy == nil {
+		return false
+	}
+	s.Gossip.Answered(message.From.Address)
+	if message.Delta != nil {
+		s.outcome(s.Config.Apply(*message.Delta))
+	}
+	if message.Copy != nil {
+		s.outcome(s.Config.Merge(*message.Copy))
+	}
+	return true
+}
+
+// serve answers what the message asks for.
+func (s *State) serve(now time.Time, message gossip.Message) []Effect {
+	if message.Want == nil {
+		return nil
+	}
+	to := message.From.Address
+	answer := s.message(now, to)
+	answer.Answers = message.Want.Nonce
+	answer.Leaves = s.Leaves.All()
+	if delta, known := s.Config.Since(message.Want.After, gossip.MaxDeltaBytes); known && !message.Want.Whole {
+		answer.Delta = &delta
+		return []Effect{SendPeer{To: to, Message: answer}}
+	}
+	if !s.Config.Covers(message.Want.Services) || !s.Gossip.MayCopy(now) {
+		return nil
+	}
+	whole := s.Config.CopyFor(message.Want.Services)
+	answer.Copy = &whole
+	return []Effect{SendPeer{To: to, Message: answer}}
+}
+
+// compare looks at the digest of a message: it asks for what this daemon lacks, and tells a sender
+// who lacks something.
+func (s *State) compare(now time.Time, message gossip.Message) []Effect {
+	own := s.digest()
+	from := message.From.Address
+	ask := message.Digest.Revision > own.Revision
+	heal := s.Gossip.HealDue(now, own, message.Digest)
+	if (ask || heal) && s.Gossip.MayAsk(now, from) {
+		question := s.message(now, from)
+		question.Want = s.want()
+		question.Want.Whole = heal
+		return []Effect{SendPeer{To: from, Message: question}}
+	}
+	if message.Digest.Revision < own.Revision && message.Want == nil {
+		return s.tell(now, []model.Address{from})
+	}
+	return nil
+}
+
+// announce tells a few peers that there is news.
+func (s *State) announce(now time.Time) []Effect {
+	if !s.Gossip.AnnounceDue(now) {
+		return nil
+	}
+	return s.tell(now, s.Members.Choose(now, gossip.FanOut, false, s.Settings.Random))
+}
+
+func (s *State) tell(now time.Time, addresses []model.Address) []Effect {
+	var effects []Effect
+	for _, address := range addresses {
+		effects = append(effects, SendPeer{To: address, Message: s.message(now, address)})
+	}
+	return effects
+}
+
+// message returns what every message to the given daemon carries.
+func (s *State) message(now time.Time, to model.Address) gossip.Message {
+	return gossip.Message{
+		From:   s.self,
+		Digest: s.digest(),
+		Reads:  s.Reader.News(now, s.Members.DomainOf(to)),
+		Leaves: s.Leaves.Pass(s.Settings.Random.Int()),
+	}
+}
+
+func (s *State) digest() gossip.Digest {
+	return gossip.Digest{
+		Revision:  s.Config.Complete,
+		Contracts: s.Config.Contracts.Hash,
+		Scope:     s.Config.Scope(),
+		Services:  s.Config.Services.Hash,
+		Ready:     s.Start.Ready,
+	}
+}
+
+func (s *State) want() *gossip.Want {
+	services := s.Config.Wanted.ToSlice()
+	slices.Sort(services)
+	return &gossip.Want{After: s.Config.Complete, Services: services, Nonce: s.Pause.Nonce}
+}
--- /dev/null
+++ b/core/command/member/member.go
@@ -0,0 +1,217 @@
+// Package member chooses the few daemons that this one exchanges control messages with.
+//
+// The published instance lists say who exists. What this daemon finds out itself, by hearing from a
+// daemon or by failing to reach it, changes only its own choice: it is never passed on, so a daemon
+// that was paused or cut off cannot talk others into dropping anybody.
+package member
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"comfreytack/core/model"
+)
+
+const (
+	// SampleSize bounds the peers that a daemon chooses from.
+	SampleSize = 20
+	// nearInSample is how many of them are in its own failure domain, if there are so many.
+	nearInSample = 7
+	// avoidFor is how long a peer is not chosen after it could not be reached.
+	avoidFor = 5 * time.Second
+	// maxHeard bounds the daemons known only because they sent a message.
+	maxHeard = 32
+	// seedEvery is how often one choice goes to a seed, so that fleets that lost sight of each other meet.
+	seedEvery = 16
+)
+
+// Entry is what is known of one daemon.
+type Entry struct {
+	Peer model.Peer
+	// HeardAt is when the daemon last sent a message; zero when never.
+	HeardAt time.Time
+}
+
+// Book has the daemons that this one may exchange messages with.
+type Book struct {
+	// Self is this daemon.
+	Self model.Peer
+	// Seeds are addresses from the settings, without that of Self.
+	Seeds []model.Address
+	// Sample has at most SampleSize daemons from the instance lists.
+	Sample []model.Peer
+	// Heard has daemons that sent messages, by name; at most maxHeard.
+	Heard map[model.UpstreamName]Entry
+	// FailedAt says when an address could last not be reached.
+	FailedAt map[model.Address]time.Time
+
+	choices int
+}
+
+// New returns a book that knows the seeds only.
+func New(self model.Peer, seeds []model.Address) *Book {
+	others := slices.DeleteFunc(slices.Clone(seeds), func(a model.Address) bool { return a == self.Address })
+	return &Book{Self: self, Seeds: others, Heard: map[model.UpstreamName]Entry{}, FailedAt: map[model.Address]time.Time{}}
+}
+
+// Published takes the instance lists of the kept services and chooses the sample anew. Daemons rank
+// the others by a hash of both names, so that each has its own sample and all are in some samples.
+func (b *Book) Published(upstreams []model.Upstream) {
+	peers := make([]model.Peer, 0, len(upstreams))
+	for _, upstream := range upstreams {
+		if upstream.Name != b.Self.Name && upstream.State != model.Gone {
+			peers = append(peers, PeerOf(upstream))
+		}
+	}
+	ranks := make(map[model.UpstreamName]uint64, len(peers))
+	for _, peer := range peers {
+		ranks[peer.Name] = xxhash.Sum64String(string(b.Self.Name) + "\x00" + string(peer.Name))
+	}
+	slices.SortFunc(peers, func(a, c model.Peer) int {
+		return cmp.Or(cmp.Compare(ranks[a.Name], ranks[c.Name]), cmp.Compare(a.Name, c.Name))
+	})
+	b.Sample = spread(peers, b.Self.FailureDomain)
+}
+
+// PeerOf returns the daemon beside an upstream. Its incarnation is not known from the instance list.
+func PeerOf(upstream model.Upstream) model.Peer {
+	return model.Peer{Name: upstream.Name, Service: upstream.Service, FailureDomain: upstream.FailureDomain, Address: upstream.Peer}
+}
+
+// spread takes some peers of the near failure domain and the rest in turn from every other domain.
+func spread(peers []model.Peer, near model.FailureDomain) []model.Peer {
+	var domains []model.FailureDomain
+	byDomain := map[model.FailureDomain][]model.Peer{}
+	for _, peer := range peers {
+		if len(byDomain[peer.FailureDomain]) == 0 {
+			domains = append(domains, peer.FailureDomain)
+		}
+		byDomain[peer.FailureDomain] = append(byDomain[peer.FailureDomain], peer)
+	}
+	first := min(nearInSample, len(byDomain[near]))
+	sample := slices.Clone(byDomain[near][:first])
+	byDomain[near] = byDomain[near][first:]
+	for len(sample) < min(SampleSize, len(peers)) {
+		for _, domain := range domains {
+			if len(byDomain[domain]) > 0 && len(sample) < SampleSize {
+				sample = append(sample, byDomain[domain][0])
+				byDomain[domain] = byDomain[domain][1:]
+			}
+		}
+	}
+	return sample
+}
+
+// Hear takes a sign of life. It returns false when the message is from a life that has ended.
+func (b *Book) Hear(now time.Time, peer model.Peer) bool {
+	if peer.Name == b.Self.Name {
+		return false
+	}
+	old, known := b.Heard[peer.Name]
+	if known && old.Peer.Incarnation > peer.Incarnation {
+		return false
+	}
+	b.Heard[peer.Name] = Entry{Peer: peer, HeardAt: now}
+	delete(b.FailedAt, peer.Address)
+	if len(b.Heard) > maxHeard {
+		b.forgetOldest()
+	}
+	return true
+}
+
+// Lost takes word that an address could not be reached.
+func (b *Book) Lost(now time.Time, address model.Address) {
+	b.FailedAt[address] = now
+	for name, entry := range b.Heard {
+		if entry.Peer.Address == address {
+			delete(b.Heard, name)
+		}
+	}
+	for other, at := range b.FailedAt {
+		if now.Sub(at) > avoidFor {
+			delete(b.FailedAt, other)
+		}
+	}
+}
+
+// Choose returns up to n different addresses at random. Near asks for the own failure domain first.
+func (b *Book) Choose(now time.Time, n int, near bool, random *rand.Rand) []model.Address {
+	b.choices++
+	candidates := b.candidates(now, near)
+	random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	chosen := candidates[:min(n, len(candidates))]
+	if len(b.Seeds) > 0 && (len(chosen) == 0 || b.choices%seedEvery == 0) {
+		seed := b.Seeds[random.IntN(len(b.Seeds))]
+		if !slices.Contains(chosen, seed) {
+			chosen = append(slices.Clone(chosen[:min(len(chosen), max(0, n-1))]), seed)
+		}
+	}
+	return chosen
+}
+
+// Everyone returns all addresses that this daemon may ask.
+func (b *Book) Everyone() []model.Address {
+	all := slices.Clone(b.Seeds)
+	for _, peer := range b.Sample {
+		all = append(all, peer.Address)
+	}
+	for _, entry := range b.Heard {
+		all = append(all, entry.Peer.Address)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// DomainOf returns the failure domain of the daemon at an address; empty when unknown.
+func (b *Book) DomainOf(address model.Address) model.FailureDomain {
+	for _, peer := range b.Sample {
+		if peer.Address == address {
+			return peer.FailureDomain
+		}
+	}
+	for _, entry := range b.Heard {
+		if entry.Peer.Address == address {
+			return entry.Peer.FailureDomain
+		}
+	}
+	return ""
+}
+
+func (b *Book) candidates(now time.Time, near bool) []model.Address {
+	var all, nearOnly []model.Address
+	add := func(peer model.Peer) {
+		failedAt, failed := b.FailedAt[peer.Address]
+		if (failed && now.Sub(failedAt) < avoidFor) || peer.Address == b.Self.Address {
+			return
+		}
+		all = append(all, peer.Address)
+		if peer.FailureDomain == b.Self.FailureDomain {
+			nearOnly = append(nearOnly, peer.Address)
+		}
+	}
+	for _, peer := range b.Sample {
+		add(peer)
+	}
+	for _, entry := range b.Heard {
+		add(entry.Peer)
+	}
+	if near && len(nearOnly) > 0 {
+		all = nearOnly
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func (b *Book) forgetOldest() {
+	var oldest model.UpstreamName
+	for name, entry := range b.Heard {
+		if oldest == "" || entry.HeardAt.Before(b.Heard[oldest].HeardAt) {
+			oldest = name
+		}
+	}
+	delete(b.Heard, oldest)
+}
--- a/core/model/snapshot.go
+++ b/core/model/snapshot.go
@@ -23,6 +23,8 @@
 	Leaving mapset.Set[UpstreamName]
 	// Quarantine maps fingerprints of requests that crash upstreams to the end of their quarantine.
 	Quarantine map[Fingerprint]time.Time
+	// Refusals says by key why the newest published value is not in force; an older one may be.
+	Refusals map[string]Refusal
 	// Ready is false until the daemon has learnt a configuration it may trust.
 	Ready bool
 	// Suspect is true after a pause, until marks and revision have been re-read.
