--- a/cftlab/verbs/verbs.go
+++ b/cftlab/verbs/verbs.go
@@ -45,6 +45,8 @@
 	return []Verb{
 		upstreamVerb,
 		platformVerb,
+		demoVerb,
+		loadVerb,
 	}
 }
 
