Learn configuration from peers and the platform

The peer port now listens; health probes go to the own upstream only.

daemon.New takes daemon.Settings and the time.

--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -38,7 +39,7 @@
 	callers   http.Handler
 	gate      http.Handler
 	operators http.Handler
-	control   func(context.Context)
+	control   func(context.Context, net.Listener) error
 	stop      func()
 }
 
@@ -48,15 +49,15 @@
 	options  Options
 	log      *slog.Logger
 	self     model.Upstream
+	plane    *controlPlane
 	control  *loop.Loop[daemon.Event, daemon.Effect]
 	meter    *meter.Meter
 }
 
 func build(settings setup.Settings, options Options, log *slog.Logger) (*parts, error) {
 	self := selfOf(settings, time.Now())
-	state := daemon.New(self)
-	control := loop.New(loop.Settings{Beat: beatInterval, Backlog: eventBacklog, Now: time.Now}, state, func(daemon.Effect) {})
-	p := plan{settings: settings, options: options, log: log, self: self, control: control, meter: meter.New()}
+	plane := newControl(settings, self, log)
+	p := plan{settings: settings, options: options, log: log, self: self, plane: plane, control: plane.loop, meter: meter.New()}
 	switch options.Discipline {
 	case "fair":
 		return buildGate(p, admit.NewFair())
@@ -108,7 +109,7 @@
 		callers:   front.Handler(),
 		gate:      gate.Handler(local),
 		operators: oper.Handler(oper.Settings{Snapshot: p.control.Snapshot, Report: local.Report, Meter: p.meter, Version: Version}),
-		control:   func(ctx context.Context) { runControl(ctx, p) },
+		control:   p.plane.run,
 		stop:      func() { p.control.Post(daemon.StopAsked{}) },
 	}, nil
 }
--- /dev/null
+++ b/cftd/start/control.go
@@ -0,0 +1,67 @@
+package start
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pkg/errors"
+
+	"comfreytack/cftd/feed"
+	"comfreytack/cftd/health"
+	"comfreytack/cftd/peers"
+	"comfreytack/core/command/daemon"
+	"comfreytack/core/loop"
+	"comfreytack/core/model"
+	"comfreytack/core/setup"
+)
+
+// controlPlane is the control goroutine and what carries its effects out.
+type controlPlane struct {
+	loop    *loop.Loop[daemon.Event, daemon.Effect]
+	network *peers.Network
+	reads   *feed.Feed
+	probe   *health.Probe
+	ctx     context.Context
+}
+
+func newControl(settings setup.Settings, self model.Upstream, log *slog.Logger) *controlPlane {
+	c := &controlPlane{}
+	state := daemon.New(daemon.Settings{
+		Self:   self,
+		Seeds:  settings.Seeds,
+		Calls:  settings.Calls,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, time.Now())
+	c.loop = loop.New(loop.Settings{Beat: beatInterval, Backlog: eventBacklog, Now: time.Now}, state, c.perform)
+	c.network = peers.New(peers.Settings{Post: c.loop.Post, Log: log})
+	c.reads = feed.New(feed.Settings{Platform: settings.Platform, Client: http.DefaultClient, Post: c.loop.Post, Log: log})
+	c.probe = health.New(health.Settings{Upstream: settings.Upstream, Client: http.DefaultClient, Post: c.loop.Post})
+	return c
+}
+
+// run runs the control goroutine, and the goroutines that carry its effects out, until ctx ends.
+func (c *controlPlane) run(ctx context.Context, listener net.Listener) error {
+	c.ctx = ctx
+	var running errgroup.Group
+	running.Go(func() error { return errors.Wrap(c.network.Serve(ctx, listener), "peer port") })
+	running.Go(func() error { c.probe.Run(ctx); return nil })
+	c.loop.Run(ctx)
+	c.network.Close()
+	return running.Wait()
+}
+
+// perform starts what the control state wants done. It does not block.
+func (c *controlPlane) perform(effect daemon.Effect) {
+	switch e := effect.(type) {
+	case daemon.SendPeer:
+		c.network.Send(e)
+	case daemon.ReadPlatform:
+		go c.reads.Read(c.ctx, e)
+	}
+}
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -18,6 +18,8 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
 	operatorsStop     = time.Second
+	// peerListener is the place of the peer port among the listeners, behind those of HTTP servers.
+	peerListener = 3
 )
 
 // serve runs the daemon until ctx ends, then finishes what is in flight.
@@ -33,7 +35,7 @@
 	control, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	var running errgroup.Group
-	running.Go(func() error { parts.control(control); return nil })
+	running.Go(func() error { return parts.control(control, listeners[peerListener]) })
 	servers := []*http.Server{newServer(parts.callers), newServer(parts.gate), newServer(parts.operators)}
 	for i, server := range servers {
 		running.Go(func() error { return ignoreClosed(server.Serve(listeners[i])) })
@@ -68,7 +70,7 @@
 
 func listen(settings setup.Settings) ([]net.Listener, error) {
 	var listeners []net.Listener
-	for _, address := range []string{string(settings.Callers), string(settings.Gate), string(settings.Operators)} {
+	for _, address := range []string{string(settings.Callers), string(settings.Gate), string(settings.Operators), string(settings.Peer)} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", address)
