--- a/core/safety/world_test.go
+++ b/core/safety/world_test.go
@@ -140,7 +140,7 @@
 	}
 	settings := ledger.Settings{Keys: rememberKeys, AnswerBytes: 100, AnswerLifetime: hour}
 	h.gate = admit.New(slots, admit.NewFIFO())
-	h.gate.SetLimits(slots, map[model.Customer]model.Limits{customer: {Queue: queueLength, Weight: 1, LongSlots: 1}})
+	h.gate.SetLimits(w.now, slots, map[model.Customer]model.Limits{customer: {Queue: queueLength, Weight: 1, LongSlots: 1}})
 	if w.fault == homeByView {
 		settings.Keys = remakeEnough
 	}
