--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -30,7 +30,6 @@
 
 const (
 	beatInterval        = 50 * time.Millisecond
-	pauseLimit          = time.Second
 	eventBacklog        = 4096
 	upstreamConnections = 200
 	gateConnections     = 64
@@ -97,9 +96,8 @@
 			Down: func() bool { return relay.Refuses(p.settings.Upstream) },
 		}),
 	}, hold.New(hold.Settings{
-		Snapshot:   p.control.Snapshot,
-		Now:        time.Now,
-		PauseLimit: pauseLimit,
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
 	}, admit.New(firstSlots, discipline)))
 	sending, err := buildSend(p)
 	if err != nil {
--- a/core/query/check/check_test.go
+++ b/core/query/check/check_test.go
@@ -23,7 +23,7 @@
 		{"longest below deadline", "contracts/a", "{\"customer\":\"a\",\n\"weight\":1,\"tier\":\"standard\",\"deadline_ms\":500,\n\"longest_ms\":9}", "contracts/a:3: longest_ms: found 9; allowed: from 500 to 86400000"},
 		{"unknown field", "contracts/a", "{\"customer\":\"a\",\n\"wieght\":1}", "contracts/a:2: wieght: found an unknown field; allowed: the fields that the documentation lists"},
 		{"unknown tier", "contracts/a", "{\n\"tier\":\"gold\"}", "contracts/a:2: tier: found unknown tier \"gold\""},
-		{"wrong kind", "contracts/a", "{\"customer\":\"a\",\n\n\"weight\":\"1\"}", "contracts/a:3: weight: found a JSON string; allowed: int"},
+		{"wrong kind", "contracts/a", "{\"customer\":\"a\",\n\n\"weight\":\"1\"}", "contracts/a:3: weight: found a JSON string; allowed: a whole number"},
 		{"wrong customer", "contracts/a", `{"customer":"b","weight":1,"tier":"standard","deadline_ms":500,"longest_ms":9000}`, "contracts/a:1: customer: found \"b\"; allowed: \"a\""},
 		{"cut off", "contracts/a", "{\"customer\":\n\"a\"", "contracts/a:2: found unexpected EOF; allowed: JSON with each name once"},
 		{"member twice", "contracts/a", "{\"customer\":\"a\",\n\"customer\":\"a\"}", "contracts/a:2: customer: found duplicate object member name; allowed: JSON with each name once"},
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -8,6 +8,7 @@
 
 	"comfreytack/core/command/admit"
 	"comfreytack/core/model"
+	"comfreytack/core/query/fresh"
 )
 
 // Settings has the explicit dependencies of a gate.
@@ -16,8 +17,6 @@
 	Snapshot func() *model.Snapshot
 	// Now reads the clock, with its monotonic part.
 	Now func() time.Time
-	// PauseLimit is the age of a snapshot that shows that this process was paused; positive.
-	PauseLimit time.Duration
 }
 
 // Gate guards an admit.Gate for many goroutines.
@@ -132,7 +131,7 @@
 		return &model.Failure{Verdict: model.NotRun, Reason: endReason(ctx, model.TooLate)}
 	case !call.Deadline.After(now):
 		return &model.Failure{Verdict: model.NotRun, Reason: model.TooLate}
-	case snapshot.Suspect || now.Sub(snapshot.BeatAt) > g.settings.PauseLimit:
+	case fresh.Paused(now, snapshot):
 		return &model.Failure{Verdict: model.NotRun, Reason: model.DaemonPaused}
 	}
 	return nil
