--- /dev/null
+++ b/cftd/start/build.go
@@ -0,0 +1,142 @@
+package start
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreytack/cftd/entry"
+	"comfreytack/cftd/gate"
+	"comfreytack/cftd/meter"
+	"comfreytack/cftd/oper"
+	"comfreytack/cftd/relay"
+	"comfreytack/core/command/admit"
+	"comfreytack/core/command/budget"
+	"comfreytack/core/command/daemon"
+	"comfreytack/core/command/load"
+	"comfreytack/core/command/poison"
+	"comfreytack/core/loop"
+	"comfreytack/core/model"
+	"comfreytack/core/query/route"
+	"comfreytack/core/setup"
+	"comfreytack/core/traffic/flight"
+	"comfreytack/core/traffic/hold"
+	"comfreytack/core/traffic/send"
+)
+
+const (
+	beatInterval        = 50 * time.Millisecond
+	eventBacklog        = 4096
+	upstreamConnections = 200
+	gateConnections     = 64
+	firstSlots          = 10
+)
+
+// parts are the running pieces of a daemon.
+type parts struct {
+	callers   http.Handler
+	gate      http.Handler
+	operators http.Handler
+	control   func(context.Context, net.Listener) error
+	stop      func()
+}
+
+// plan is what every part is built from.
+type plan struct {
+	settings setup.Settings
+	options  Options
+	log      *slog.Logger
+	self     model.Upstream
+	plane    *controlPlane
+	control  *loop.Loop[daemon.Event, daemon.Effect]
+	meter    *meter.Meter
+}
+
+func build(settings setup.Settings, options Options, log *slog.Logger) (*parts, error) {
+	self := selfOf(settings, time.Now())
+	plane := newControl(settings, self, log)
+	p := plan{settings: settings, options: options, log: log, self: self, plane: plane, control: plane.loop, meter: meter.New()}
+	switch options.Discipline {
+	case "fair":
+		return buildGate(p, admit.NewFair())
+	case "fifo":
+		return buildGate(p, admit.NewFIFO())
+	}
+	return nil, errors.Errorf("unknown discipline %q", options.Discipline)
+}
+
+// selfOf describes this daemon. Its incarnation is its start time, so that later lives compare greater.
+func selfOf(settings setup.Settings, started time.Time) model.Upstream {
+	return model.Upstream{
+		Name:          settings.Name,
+		Incarnation:   model.Incarnation(started.UnixMilli()),
+		Service:       settings.Service,
+		Region:        settings.Region,
+		FailureDomain: settings.FailureDomain,
+		Gate:          settings.Gate,
+		Peer:          settings.Peer,
+	}
+}
+
+func buildGate[D admit.Discipline](p plan, discipline D) (*parts, error) {
+	local := gate.New(gate.Settings{
+		Upstream:  p.settings.Upstream,
+		Transport: relay.NewTransport(upstreamConnections),
+		Snapshot:  p.control.Snapshot,
+		Now:       time.Now,
+		Meter:     p.meter,
+		Flight: flight.New(flight.Settings{
+			Self: p.self,
+			Book: poison.New(poison.DefaultSettings()),
+			Now:  time.Now,
+			Down: func() bool { return relay.Refuses(p.settings.Upstream) },
+		}),
+	}, hold.New(hold.Settings{
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
+	}, admit.New(firstSlots, discipline)))
+	sending, err := buildSend(p)
+	if err != nil {
+		return nil, err
+	}
+	front := entry.New(entry.Settings{
+		Self:      p.self,
+		Local:     local,
+		Transport: relay.NewTransport(gateConnections),
+		Snapshot:  p.control.Snapshot,
+		Now:       time.Now,
+		Send:      sending,
+		Meter:     p.meter,
+	})
+	return &parts{
+		callers:   front.Handler(),
+		gate:      gate.Handler(local),
+		operators: oper.Handler(oper.Settings{Snapshot: p.control.Snapshot, Report: local.Report, Meter: p.meter, Version: Version}),
+		control:   p.plane.run,
+		stop:      func() { p.control.Post(daemon.StopAsked{}) },
+	}, nil
+}
+
+func buildSend(p plan) (entry.Send, error) {
+	policy, known := route.ByName(p.options.Policy).Get()
+	if !known {
+		return nil, errors.Errorf("unknown policy %q", p.options.Policy)
+	}
+	return sendBy(p, policy), nil
+}
+
+func sendBy[P route.Policy](p plan, policy P) entry.Send {
+	sender := send.New(send.Settings{
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
+		Book:     load.New(p.self, load.DefaultSettings()),
+		Retries:  budget.New(budget.DefaultSettings()),
+	}, route.New(policy))
+	return func(ctx context.Context, call model.Call, carrier send.Carrier[*http.Response]) (*http.Response, *model.Failure) {
+		return send.Send(ctx, sender, call, carrier)
+	}
+}
--- /dev/null
+++ b/core/traffic/send/send.go
@@ -0,0 +1,123 @@
+// Package send tries a call on one upstream after another until there is an answer.
+package send
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"comfreytack/core/command/budget"
+	"comfreytack/core/command/load"
+	"comfreytack/core/model"
+	"comfreytack/core/query/retry"
+	"comfreytack/core/query/route"
+)
+
+// Carrier takes one attempt to one upstream's gate. A is the type of its answers.
+type Carrier[A any] interface {
+	// Attempt returns an answer or a failure. The report is nil when the gate sent none.
+	// It calls ended once: when it fails, or when the whole answer has been read or given up. The
+	// result says what the call tells of the upstream.
+	Attempt(ctx context.Context, call model.Call, upstream model.Upstream, ended func(load.Result)) (A, *model.GateReport, *model.Failure)
+	// Again says whether the request can be sent once more, that is, its body is still at hand.
+	Again() bool
+}
+
+// Settings has the explicit dependencies of a sender.
+type Settings struct {
+	// Snapshot returns the control state.
+	Snapshot func() *model.Snapshot
+	// Now reads the clock, with its monotonic part.
+	Now func() time.Time
+	// Book has what is known of the upstreams' load.
+	Book *load.Book
+	// Retries bounds the retries of each customer.
+	Retries *budget.Book
+}
+
+// Sender picks upstreams and counts the calls in flight to each.
+type Sender[P route.Policy] struct {
+	settings Settings
+	picker   *route.Picker[P]
+	// scratch has slices of candidates, so that a decision allocates nothing.
+	scratch sync.Pool
+}
+
+// New returns a sender.
+func New[P route.Policy](settings Settings, picker *route.Picker[P]) *Sender[P] {
+	return &Sender[P]{
+		settings: settings,
+		picker:   picker,
+		scratch:  sync.Pool{New: func() any { return new([]route.Candidate) }},
+	}
+}
+
+// Send tries the call until an upstream answers, the deadline passes or no attempt is left.
+func Send[P route.Policy, A any](ctx context.Context, s *Sender[P], call model.Call, carrier Carrier[A]) (A, *model.Failure) {
+	var none A
+	tried := make([]model.UpstreamName, 0, retry.MaxAttempts)
+	state := retry.State{Deadline: call.Deadline, Idempotent: call.Idempotent}
+	s.settings.Retries.Sent(s.settings.Now(), call.Customer, s.settings.Snapshot().Limits[call.Customer].RetryPercent)
+	for {
+		upstream, others := s.pick(call.Service, tried)
+		if upstream.Name == "" {
+			return none, &model.Failure{Verdict: model.NotRun, Reason: model.NoUpstream, Spent: true}
+		}
+		tried = append(tried, upstream.Name)
+		answer, failure := attempt(ctx, s, call, upstream, carrier)
+		if failure == nil {
+			return answer, nil
+		}
+		state.Attempts++
+		if retry.Death(failure.Reason) {
+			state.Deaths++
+			call.Suspect = true
+		}
+		state.Untried = others
+		if !carrier.Again() || ctx.Err() != nil {
+			state.Untried = 0
+		}
+		if decision := s.next(state, call.Customer, failure); decision.Action == retry.GiveUp {
+			return none, decision.Failure
+		}
+	}
+}
+
+func (s *Sender[P]) next(state retry.State, customer model.Customer, failure *model.Failure) retry.Decision {
+	now := s.settings.Now()
+	return retry.Next(now, state, failure, func() bool {
+		return s.settings.Retries.Spend(now, customer)
+	})
+}
+
+func attempt[P route.Policy, A any](ctx context.Context, s *Sender[P], call model.Call, upstream model.Upstream, carrier Carrier[A]) (A, *model.Failure) {
+	began := s.settings.Now()
+	counted := s.settings.Book.Began(upstream.Name)
+	ended := func(result load.Result) {
+		now := s.settings.Now()
+		s.settings.Book.Ended(now, counted, load.Outcome{Result: result, Latency: now.Sub(began)})
+	}
+	answer, report, failure := carrier.Attempt(ctx, call, upstream, ended)
+	if report != nil {
+		s.settings.Book.Reported(s.settings.Now(), *report)
+	}
+	return answer, failure
+}
+
+// pick returns the upstream to try and how many others could be tried; an empty one when there is none.
+func (s *Sender[P]) pick(service model.ServiceName, tried []model.UpstreamName) (chosen model.Upstream, others int) {
+	snapshot := s.settings.Snapshot()
+	now := s.settings.Now()
+	scratch := s.scratch.Get().(*[]route.Candidate)
+	defer s.scratch.Put(scratch)
+	candidates := s.settings.Book.Candidates(now, service, snapshot.Services[service].Upstreams, *scratch)
+	*scratch = candidates
+	candidates = slices.DeleteFunc(candidates, func(c route.Candidate) bool {
+		return snapshot.Leaving.Contains(c.Upstream.Name)
+	})
+	candidates = route.Without(candidates, tried)
+	chosen, _ = s.picker.Pick(now, rand.IntN, candidates)
+	return chosen, len(candidates) - 1
+}
