Carry keyed calls to the home of their key and issue keys

POST /keys on the callers' port gives keys of a daemon of the service. Any entry forwards a keyed call to its home, which runs it through the service's gates, joins a run that is under way or answers from memory. A run goes on when its caller leaves, so that the next send finds its outcome. What an entry concludes from silence is widened to all sends of the key.

--- a/cftd/entry/call.go
+++ b/cftd/entry/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"comfreytack/cftd/relay"
 	"comfreytack/core/model"
@@ -31,6 +32,9 @@
 	if call.ID == "" {
 		call.ID = uuid.NewString()
 	}
+	if err := wire.TakeKey(r.Header, wire.HeaderIdempotencyKey, &call); err != nil {
+		return call, failureOf(err)
+	}
 	if !snapshot.Ready {
 		return call, refuse(model.NotReady)
 	}
@@ -89,3 +93,12 @@
 func refuse(reason model.Reason) *model.Failure {
 	return &model.Failure{Verdict: model.NotRun, Reason: reason}
 }
+
+// failureOf returns the failure that err is; package wire gives no other errors.
+func failureOf(err error) *model.Failure {
+	var failure *model.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err}
+}
--- a/cftd/entry/carry.go
+++ b/cftd/entry/carry.go
@@ -34,14 +34,7 @@
 
 // Attempt implements send.Carrier.
 func (c *carrier) Attempt(ctx context.Context, call model.Call, upstream model.Upstream, ended func(load.Result)) (*http.Response, *model.GateReport, *model.Failure) {
-	request := relay.Request{
-		Address: upstream.Gate,
-		Method:  call.Method,
-		Target:  c.target,
-		Host:    c.host,
-		Header:  c.header.Clone(),
-		Body:    c.body,
-	}
+	request := c.request(upstream.Gate)
 	answer, report, failure := c.one(ctx, call, upstream, request)
 	if failure != nil {
 		ended(load.ResultOf(failure.Reason))
@@ -51,6 +44,18 @@
 	return answer, report, nil
 }
 
+// request returns a new attempt; its header may be changed.
+func (c *carrier) request(address model.Address) relay.Request {
+	return relay.Request{
+		Address: address,
+		Method:  c.call.Method,
+		Target:  c.target,
+		Host:    c.host,
+		Header:  c.header.Clone(),
+		Body:    c.body,
+	}
+}
+
 // resultOf tells an upstream's own errors, which may come fast, from useful answers.
 func resultOf(answer *http.Response) load.Result {
 	if answer.StatusCode >= http.StatusInternalServerError {
--- /dev/null
+++ b/cftd/entry/keyed.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreytack/cftd/home"
+	"comfreytack/cftd/relay"
+	"comfreytack/core/model"
+	"comfreytack/core/query/proof"
+	"comfreytack/core/wire"
+)
+
+const (
+	keysPath      = "/keys"
+	issueAttempts = 3
+	issueTimeout  = time.Second
+	// longestKeyList bounds the body with one batch of keys, in bytes.
+	longestKeyList = 256 * home.BatchLimit
+)
+
+// keyList is the body of a reply with new keys.
+type keyList struct {
+	Keys []string `json:"keys"`
+}
+
+// send takes a keyed call to the home of its key and any other to an upstream's gate.
+func (e *Entry) send(ctx context.Context, call model.Call, c *carrier) (*http.Response, *model.Failure) {
+	key, keyed := call.Key.Get()
+	if !keyed {
+		return e.settings.Send(ctx, call, c)
+	}
+	if key.Home == e.settings.Self.Name {
+		return e.atHome(ctx, call, c)
+	}
+	upstreams := e.settings.Snapshot().Services[call.Service].Upstreams
+	i := slices.IndexFunc(upstreams, func(u model.Upstream) bool { return u.Name == key.Home })
+	if i < 0 {
+		return nil, vouch(call, &model.Failure{Verdict: model.NotRun, Reason: model.HomeLost})
+	}
+	return e.toHome(ctx, call, upstreams[i].Gate, c)
+}
+
+// atHome runs a call whose key this daemon issued. Keys are for calls to the daemon's own service.
+func (e *Entry) atHome(ctx context.Context, call model.Call, c *carrier) (*http.Response, *model.Failure) {
+	if call.Service != e.settings.Self.Service {
+		return nil, refuse(model.BadRequest)
+	}
+	return e.settings.Home.Call(ctx, call, func(ctx context.Context, call model.Call) (*http.Response, *model.Failure) {
+		return e.settings.Send(ctx, call, c)
+	})
+}
+
+// toHome sends the call to the daemon that issued its key. What that daemon says stands as it is: it knows of
+// every send. What this one concludes from silence holds for this send alone.
+func (e *Entry) toHome(ctx context.Context, call model.Call, address model.Address, c *carrier) (*http.Response, *model.Failure) {
+	request := c.request(address)
+	wire.PutCall(request.Header, call, e.settings.Now())
+	wire.PutKey(request.Header, call)
+	answer, failure := relay.Trip(ctx, e.settings.Transport, request, model.HomeLost)
+	if failure != nil {
+		if failure.Reason == model.UpstreamDown {
+			failure.Reason = model.HomeLost
+		}
+		return nil, vouch(call, failure)
+	}
+	if failure := wire.TakeFailure(answer.Header); failure != nil {
+		_ = answer.Body.Close()
+		return nil, failure
+	}
+	wire.DropOwn(answer.Header)
+	return answer, nil
+}
+
+// vouch widens what this daemon knows of one send to all sends of its key. A call whose key does not parse
+// has none, and never ran.
+func vouch(call model.Call, failure *model.Failure) *model.Failure {
+	if call.Key.IsPresent() {
+		failure.Verdict = proof.Keyed(failure.Verdict, proof.Bystander, call.Send)
+	}
+	return failure
+}
+
+// GateHandler serves the port for other daemons: keyed calls and requests for keys here, other calls at gate.
+func (e *Entry) GateHandler(gate http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Header.Get(wire.HeaderIssue) != "":
+			e.issueHere(w, model.Customer(r.Header.Get(wire.HeaderCustomer)), r.Header.Get(wire.HeaderIssue))
+		case r.Header.Get(wire.HeaderKey) != "":
+			e.serveKeyed(w, r)
+		default:
+			gate.ServeHTTP(w, r)
+		}
+	})
+}
+
+// serveKeyed takes a keyed call from another daemon's entry.
+func (e *Entry) serveKeyed(w http.ResponseWriter, r *http.Request) {
+	answer, failure := e.runKeyed(r)
+	if failure != nil {
+		relay.WriteFailure(w, failure)
+		return
+	}
+	w.Header().Set(wire.HeaderVerdict, model.Ran.String())
+	w.Header().Set(wire.HeaderReason, model.NoReason.String())
+	if broken := relay.WriteAnswer(w, answer); broken != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Entry) runKeyed(r *http.Request) (*http.Response, *model.Failure) {
+	body, err := relay.ReadBody(r)
+	if err != nil {
+		return nil, &model.Failure{Verdict: model.MayHaveRun, Reason: model.BadRequest, Cause: err}
+	}
+	call, err := wire.TakeCall(r, e.settings.Now())
+	if err == nil {
+		err = wire.TakeKey(r.Header, wire.HeaderKey, &call)
+	}
+	if err != nil {
+		return nil, vouch(call, failureOf(err))
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+	defer cancel()
+	return e.atHome(ctx, call, e.carrier(r, call, body))
+}
+
+// keys serves "POST /keys?customer=C&service=S&count=N" on the callers' port.
+func (e *Entry) keys(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	customer := model.Customer(query.Get("customer"))
+	service := model.ServiceName(query.Get("service"))
+	count := query.Get("count")
+	if count == "" {
+		count = "1"
+	}
+	if service == e.settings.Self.Service {
+		e.issueHere(w, customer, count)
+		return
+	}
+	list, failure := e.issueThere(r.Context(), customer, service, count)
+	if failure != nil {
+		relay.WriteFailure(w, failure)
+		return
+	}
+	writeKeys(w, list)
+}
+
+func (e *Entry) issueHere(w http.ResponseWriter, customer model.Customer, text string) {
+	count, err := strconv.Atoi(text)
+	if err != nil || count < 1 || count > home.BatchLimit {
+		cause := errors.Errorf("count is %q, not a number from 1 to %d", text, home.BatchLimit)
+		relay.WriteFailure(w, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: cause})
+		return
+	}
+	keys, failure := e.settings.Home.Issue(customer, count)
+	if failure != nil {
+		relay.WriteFailure(w, failure)
+		return
+	}
+	list := keyList{Keys: make([]string, 0, len(keys))}
+	for _, key := range keys {
+		list.Keys = append(list.Keys, wire.FormatKey(key))
+	}
+	// A list of strings always has an encoding.
+	encoded, _ := json.Marshal(list)
+	writeKeys(w, append(encoded, '\n'))
+}
+
+func writeKeys(w http.ResponseWriter, list []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(wire.HeaderVerdict, model.Ran.String())
+	w.Header().Set(wire.HeaderReason, model.NoReason.String())
+	_, _ = w.Write(list)
+}
+
+// issueThere asks daemons of the service until one issues keys; keys that are lost on the way do no harm.
+func (e *Entry) issueThere(ctx context.Context, customer model.Customer, service model.ServiceName, count string) ([]byte, *model.Failure) {
+	snapshot := e.settings.Snapshot()
+	published, known := snapshot.Services[service]
+	if !known {
+		return nil, refuse(model.NoService)
+	}
+	ctx, cancel := context.WithTimeout(ctx, issueTimeout)
+	defer cancel()
+	failure := refuse(model.NoUpstream)
+	for _, i := range rand.Perm(len(published.Upstreams))[:min(issueAttempts, len(published.Upstreams))] {
+		upstream := published.Upstreams[i]
+		if snapshot.Leaving.Contains(upstream.Name) {
+			continue
+		}
+		list, failed := e.askForKeys(ctx, upstream.Gate, customer, count)
+		if failed == nil {
+			return list, nil
+		}
+		failure = failed
+	}
+	return nil, failure
+}
+
+func (e *Entry) askForKeys(ctx context.Context, address model.Address, customer model.Customer, count string) ([]byte, *model.Failure) {
+	header := http.Header{}
+	header.Set(wire.HeaderIssue, count)
+	header.Set(wire.HeaderCustomer, string(customer))
+	answer, failure := relay.Trip(ctx, e.settings.Transport, relay.Request{
+		Address: address,
+		Method:  http.MethodPost,
+		Target:  &url.URL{Path: keysPath},
+		Header:  header,
+		Body:    &relay.Body{},
+	}, model.GateLost)
+	if failure != nil {
+		return nil, failure
+	}
+	defer answer.Body.Close()
+	if failure := wire.TakeFailure(answer.Header); failure != nil {
+		return nil, failure
+	}
+	list, err := io.ReadAll(io.LimitReader(answer.Body, longestKeyList))
+	if err != nil {
+		return nil, &model.Failure{Verdict: model.MayHaveRun, Reason: model.GateLost, Cause: err}
+	}
+	return list, nil
+}
--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"comfreytack/cftd/home"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/relay"
 	"comfreytack/core/model"
@@ -33,6 +34,8 @@
 	Now func() time.Time
 	// Send tries a call on one upstream after another.
 	Send Send
+	// Home runs the calls whose keys this daemon issued.
+	Home *home.Home
 	// Meter records calls.
 	Meter *meter.Meter
 }
@@ -50,6 +53,7 @@
 // Handler serves the callers' port.
 func (e *Entry) Handler() http.Handler {
 	router := chi.NewRouter()
+	router.Post("/keys", e.keys)
 	router.HandleFunc("/*", e.serve)
 	return router
 }
@@ -76,11 +80,11 @@
 	}
 	call, failure := readCall(r, e.settings.Snapshot(), body, now)
 	if failure != nil {
-		return call, failure
+		return call, vouch(call, failure)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
-	answer, failure := e.settings.Send(ctx, call, e.carrier(r, call, body))
+	answer, failure := e.send(ctx, call, e.carrier(r, call, body))
 	if failure != nil {
 		return call, failure
 	}
--- a/cftd/meter/meter.go
+++ b/cftd/meter/meter.go
@@ -25,6 +25,11 @@
 	Failures *prometheus.CounterVec
 	// Attempts counts what the entry sent to gates.
 	Attempts *prometheus.CounterVec
+	// Sends counts the sends of keys at their home by what was done: run, join, replay (a re-send answered from
+	// memory) or refuse.
+	Sends *prometheus.CounterVec
+	// Truncated counts answers that broke off before their end.
+	Truncated *prometheus.CounterVec
 }
 
 // New returns a meter whose families are registered.
@@ -43,8 +48,14 @@
 		Attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreytack_attempts_total", Help: "Attempts sent to gates, by service.",
 		}, []string{"service"}),
+		Sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreytack_key_sends_total", Help: "Sends of idempotency keys at their home, by what was done.",
+		}, []string{"customer", "action"}),
+		Truncated: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreytack_truncated_answers_total", Help: "Answers that ended before their framing said so.",
+		}, []string{"customer", "service"}),
 	}
-	m.Registry.MustRegister(m.Calls, m.Waits, m.Failures, m.Attempts,
+	m.Registry.MustRegister(m.Calls, m.Waits, m.Failures, m.Attempts, m.Sends, m.Truncated,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -62,3 +73,8 @@
 func (m *Meter) Wait(call model.Call, waited time.Duration) {
 	m.Waits.WithLabelValues(string(call.Customer), call.Class.String()).Observe(waited.Seconds())
 }
+
+// Send records what a key's home did with one send.
+func (m *Meter) Send(call model.Call, action string) {
+	m.Sends.WithLabelValues(string(call.Customer), action).Inc()
+}
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -10,11 +11,13 @@
 
 	"comfreytack/cftd/entry"
 	"comfreytack/cftd/gate"
+	"comfreytack/cftd/home"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/oper"
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/admit"
 	"comfreytack/core/command/daemon"
+	"comfreytack/core/command/ledger"
 	"comfreytack/core/command/load"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
@@ -31,6 +34,10 @@
 	upstreamConnections = 200
 	gateConnections     = 64
 	firstSlots          = 10
+	// What a home remembers for each customer.
+	keysPerCustomer        = 1024
+	answerBytesPerCustomer = 128 << 10
+	answerLifetime         = 10 * time.Minute
 )
 
 // parts are the running pieces of a daemon.
@@ -40,6 +47,8 @@
 	operators http.Handler
 	control   func(context.Context)
 	stop      func()
+	// finish waits for work that no connection waits for.
+	finish func(context.Context)
 }
 
 // plan is what every part is built from.
@@ -95,7 +104,16 @@
 	if err != nil {
 		return nil, err
 	}
+	keeper := home.New(home.Settings{
+		Self:     p.self,
+		Life:     model.Incarnation(rand.Uint64()),
+		Ledger:   ledger.Settings{Keys: keysPerCustomer, AnswerBytes: answerBytesPerCustomer, AnswerLifetime: answerLifetime},
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
+		Meter:    p.meter,
+	})
 	front := entry.New(entry.Settings{
+		Home:      keeper,
 		Self:      p.self,
 		Local:     local,
 		Transport: relay.NewTransport(gateConnections),
@@ -106,10 +124,11 @@
 	})
 	return &parts{
 		callers:   front.Handler(),
-		gate:      gate.Handler(local),
+		gate:      front.GateHandler(gate.Handler(local)),
 		operators: oper.Handler(oper.Settings{Snapshot: p.control.Snapshot, Report: local.Report, Meter: p.meter, Version: Version}),
 		control:   func(ctx context.Context) { runControl(ctx, p) },
 		stop:      func() { p.control.Post(daemon.StopAsked{}) },
+		finish:    keeper.Wait,
 	}, nil
 }
 
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -42,7 +42,7 @@
 	<-ctx.Done()
 	log.Info("stopping", "name", settings.Name)
 	parts.stop()
-	err = shutDown(servers, time.Duration(settings.StopMs)*time.Millisecond)
+	err = shutDown(servers, parts.finish, time.Duration(settings.StopMs)*time.Millisecond)
 	stopControl()
 	if waitErr := running.Wait(); err == nil {
 		err = waitErr
@@ -51,8 +51,9 @@
 	return err
 }
 
-// shutDown lets callers' and peers' calls finish first; the operators' port is the last to close.
-func shutDown(servers []*http.Server, longest time.Duration) error {
+// shutDown lets callers' and peers' calls finish first, then keyed calls whose callers have left; the
+// operators' port is the last to close.
+func shutDown(servers []*http.Server, finish func(context.Context), longest time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), longest)
 	defer cancel()
 	var closing errgroup.Group
@@ -60,6 +61,7 @@
 		closing.Go(func() error { return server.Shutdown(ctx) })
 	}
 	err := closing.Wait()
+	finish(ctx)
 	last, cancelLast := context.WithTimeout(context.Background(), operatorsStop)
 	defer cancelLast()
 	_ = servers[2].Shutdown(last)
--- a/core/command/ledger/ledger.go
+++ b/core/command/ledger/ledger.go
@@ -5,6 +5,7 @@
 package ledger
 
 import (
+	"maps"
 	"time"
 
 	"comfreytack/core/model"
@@ -152,9 +153,10 @@
 	}
 }
 
-// Drop forgets a customer whose contract has ended. Its keys are answered as expired from then on.
-func (l *Ledger[A]) Drop(customer model.Customer) {
-	delete(l.books, customer)
+// Retain forgets the customers for which keep returns false, such as those whose contract has ended. Their
+// keys are answered as expired from then on.
+func (l *Ledger[A]) Retain(keep func(model.Customer) bool) {
+	maps.DeleteFunc(l.books, func(customer model.Customer, _ *book[A]) bool { return !keep(customer) })
 }
 
 // Remembered counts the keys that are remembered for a customer.
--- a/core/safety/world_test.go
+++ b/core/safety/world_test.go
@@ -261,7 +261,7 @@
 // arrive is a keyed call at its home.
 func (w *world) arrive(m message) {
 	h := w.homes[m.home]
-	call := w.call(h, m)
+	call := w.call(m)
 	decision := h.ledger.Begin(w.now, call)
 	switch decision.Action {
 	case ledger.Run:
@@ -274,7 +274,7 @@
 	}
 }
 
-func (w *world) call(h *home, m message) model.Call {
+func (w *world) call(m message) model.Call {
 	key := w.callers[m.request].key.MustGet()
 	if w.fault == homeByView {
 		key.Home = homeName(m.home)
--- a/core/wire/key.go
+++ b/core/wire/key.go
@@ -2,16 +2,25 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/samber/mo"
 
 	"comfreytack/core/model"
 )
 
+// HeaderSend numbers the sends of a key from 1. Callers and daemons send it alike.
+const HeaderSend = "Comfreytack-Send"
+
+// HeaderIssue asks another daemon for that many new keys.
+const HeaderIssue = "Comfreytack-Issue"
+
 const (
+	largestSend      = 1_000_000
 	longestKey       = 200
 	keyFields        = 4
 	incarnationHex   = 16
@@ -49,6 +58,46 @@
 	return keyOf(home, incarnation, sequence)
 }
 
+// TakeKey reads the key and the number of the send that the named header and HeaderSend carry; a call without
+// that header is not keyed. The error is a *model.Failure with verdict NotRun: no call with such a key ever ran.
+func TakeKey(header http.Header, name string, call *model.Call) error {
+	texts := header.Values(name)
+	if len(texts) == 0 {
+		return nil
+	}
+	if len(texts) > 1 {
+		return badRequest(errors.Errorf("%s was sent %d times", name, len(texts)))
+	}
+	key, err := ParseKey(texts[0])
+	if err != nil {
+		return &model.Failure{Verdict: model.NotRun, Reason: model.KeyUnknown, Cause: err}
+	}
+	send, err := takeSend(header.Get(HeaderSend))
+	if err != nil {
+		return badRequest(err)
+	}
+	call.Key = mo.Some(key)
+	call.Send = send
+	return nil
+}
+
+// PutKey writes the key of a keyed call for its home.
+func PutKey(header http.Header, call model.Call) {
+	header.Set(HeaderKey, FormatKey(call.Key.OrEmpty()))
+	header.Set(HeaderSend, strconv.Itoa(call.Send))
+}
+
+func takeSend(text string) (int, error) {
+	if text == "" {
+		return 0, nil
+	}
+	send, err := strconv.Atoi(text)
+	if err != nil || send < 0 || send > largestSend {
+		return 0, errors.Errorf("%s is %q, not a number from 1 to %d", HeaderSend, text, largestSend)
+	}
+	return send, nil
+}
+
 func keyOf(home, incarnation, sequence string) (model.Key, error) {
 	if err := checkHome(home); err != nil {
 		return model.Key{}, err
