Tie bytes on a connection to requests, bound both sides by the deadline, and combine verdicts over attempts

The verdict of a call covers all its attempts: a refusal after an attempt that broke off was told as not_run. Answers without length or chunks are refused, as their end cannot be told from a broken connection.

--- a/cftd/entry/carry.go
+++ b/cftd/entry/carry.go
@@ -8,6 +8,7 @@
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/load"
 	"comfreytack/core/model"
+	"comfreytack/core/query/proof"
 	"comfreytack/core/wire"
 )
 
@@ -25,6 +26,8 @@
 	target *url.URL
 	host   string
 	body   *relay.Body
+	// failed is the verdict on the attempts that failed so far; NotRun before the first.
+	failed model.Verdict
 }
 
 // Again implements send.Carrier.
@@ -36,7 +39,11 @@
 func (c *carrier) Attempt(ctx context.Context, call model.Call, upstream model.Upstream, ended func(load.Result)) (*http.Response, *model.GateReport, *model.Failure) {
 	request := c.request(upstream.Gate)
 	answer, report, failure := c.one(ctx, call, upstream, request)
+	if failure == nil && call.Idempotent {
+		failure = relay.HoldAnswer(answer)
+	}
 	if failure != nil {
+		c.failed = proof.Then(c.failed, failure.Verdict)
 		ended(load.ResultOf(failure.Reason))
 		return nil, report, failure
 	}
--- a/cftd/entry/keyed.go
+++ b/cftd/entry/keyed.go
@@ -33,12 +33,9 @@
 	Keys []string `json:"keys"`
 }
 
-// send takes a keyed call to the home of its key and any other to an upstream's gate.
-func (e *Entry) send(ctx context.Context, call model.Call, c *carrier) (*http.Response, *model.Failure) {
-	key, keyed := call.Key.Get()
-	if !keyed {
-		return e.settings.Send(ctx, call, c)
-	}
+// sendKeyed takes a call to the home of its key.
+func (e *Entry) sendKeyed(ctx context.Context, call model.Call, c *carrier) (*http.Response, *model.Failure) {
+	key := call.Key.OrEmpty()
 	if key.Home == e.settings.Self.Name {
 		return e.atHome(ctx, call, c)
 	}
@@ -56,7 +53,8 @@
 		return nil, refuse(model.BadRequest)
 	}
 	return e.settings.Home.Call(ctx, call, func(ctx context.Context, call model.Call) (*http.Response, *model.Failure) {
-		return e.settings.Send(ctx, call, c)
+		answer, _, failure := e.attempts(ctx, call, c)
+		return answer, failure
 	})
 }
 
@@ -106,7 +104,7 @@
 
 // serveKeyed takes a keyed call from another daemon's entry.
 func (e *Entry) serveKeyed(w http.ResponseWriter, r *http.Request) {
-	answer, failure := e.runKeyed(r)
+	answer, failure := e.runKeyed(w, r)
 	if failure != nil {
 		relay.WriteFailure(w, failure)
 		return
@@ -118,11 +116,7 @@
 	}
 }
 
-func (e *Entry) runKeyed(r *http.Request) (*http.Response, *model.Failure) {
-	body, err := relay.ReadBody(r)
-	if err != nil {
-		return nil, &model.Failure{Verdict: model.MayHaveRun, Reason: model.BadRequest, Cause: err}
-	}
+func (e *Entry) runKeyed(w http.ResponseWriter, r *http.Request) (*http.Response, *model.Failure) {
 	call, err := wire.TakeCall(r, e.settings.Now())
 	if err == nil {
 		err = wire.TakeKey(r.Header, wire.HeaderKey, &call)
@@ -130,6 +124,11 @@
 	if err != nil {
 		return nil, vouch(call, failureOf(err))
 	}
+	relay.Limit(w, call.Deadline)
+	body, err := relay.ReadBody(r)
+	if err != nil {
+		return nil, vouch(call, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err})
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
 	return e.atHome(ctx, call, e.carrier(r, call, body))
--- a/cftd/relay/body.go
+++ b/cftd/relay/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -23,7 +24,8 @@
 	// Length is the declared length in bytes, or -1 for a chunked body.
 	Length int64
 
-	used bool
+	// taken is true once an attempt has read from Rest; no other one ever does.
+	taken atomic.Bool
 }
 
 // ReadBody reads up to BufferBytes of the request's body.
@@ -61,7 +63,7 @@
 
 // Again says whether the body can be sent once more.
 func (b *Body) Again() bool {
-	return b.Rest == nil || !b.used
+	return b.Rest == nil || !b.taken.Load()
 }
 
 // Open returns the body for one attempt. The reader is never http.NoBody and offers no GetBody, so
@@ -70,8 +72,22 @@
 	if b.Rest == nil {
 		return io.NopCloser(bytes.NewReader(b.Small))
 	}
-	b.used = true
-	return io.NopCloser(io.MultiReader(bytes.NewReader(b.Small), b.Rest))
+	return io.NopCloser(io.MultiReader(bytes.NewReader(b.Small), &rest{body: b}))
+}
+
+// rest reads from a body's Rest for one attempt.
+type rest struct {
+	body *Body
+	mine bool
+}
+
+// Read fails if another attempt has begun to read.
+func (r *rest) Read(data []byte) (int, error) {
+	if !r.mine && !r.body.taken.CompareAndSwap(false, true) {
+		return 0, errors.New("the request body was sent before")
+	}
+	r.mine = true
+	return r.body.Rest.Read(data)
 }
 
 // Fingerprint hashes what identifies the request; zero when the body is too large to hash.
@@ -87,3 +103,21 @@
 	_, _ = hash.Write(b.Small)
 	return model.Fingerprint(max(1, hash.Sum64()))
 }
+
+// HoldAnswer reads an answer of a known small length whole, so that one that breaks off can be retried.
+// Other answers stream.
+func HoldAnswer(answer *http.Response) *model.Failure {
+	if answer.ContentLength < 0 || answer.ContentLength > BufferBytes {
+		return nil
+	}
+	held, err := io.ReadAll(answer.Body)
+	closeErr := answer.Body.Close()
+	if err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return &model.Failure{Verdict: model.MayHaveRun, Reason: model.Truncated, Cause: err}
+	}
+	answer.Body = io.NopCloser(bytes.NewReader(held))
+	return nil
+}
--- a/cftd/relay/trip.go
+++ b/cftd/relay/trip.go
@@ -71,10 +71,34 @@
 	})
 	outgoing := outgoingRequest(request).WithContext(ctx)
 	answer, err := transport.RoundTrip(outgoing)
-	if err == nil {
-		return answer, nil
+	if err != nil {
+		return nil, tripFailure(ctx, err, sent.wrote(), lost)
+	}
+	if !sent.wrote() {
+		// What came back answers an earlier request.
+		sent.abort()
+		_ = answer.Body.Close()
+		return nil, tripFailure(ctx, errStray, sent.wrote(), lost)
+	}
+	if err := checkFraming(request.Method, answer); err != nil {
+		sent.abort()
+		_ = answer.Body.Close()
+		return nil, &model.Failure{Verdict: model.MayHaveRun, Reason: model.Truncated, Cause: err}
+	}
+	return answer, nil
+}
+
+// checkFraming refuses answers whose end nobody could tell from a broken connection.
+func checkFraming(method string, answer *http.Response) error {
+	switch {
+	case answer.StatusCode < http.StatusOK:
+		return errors.Errorf("unexpected status %d", answer.StatusCode)
+	case method == http.MethodHead, answer.StatusCode == http.StatusNoContent, answer.StatusCode == http.StatusNotModified:
+		return nil
+	case answer.ContentLength < 0 && len(answer.TransferEncoding) == 0:
+		return errors.New("the answer has neither a length nor chunks")
 	}
-	return nil, tripFailure(ctx, err, sent.wrote(), lost)
+	return nil
 }
 
 func outgoingRequest(request Request) *http.Request {
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -15,9 +15,11 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	operatorsStop     = time.Second
+	// exchangeTimeout holds for exchanges that are not calls; a call has its deadline instead.
+	exchangeTimeout = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
+	maxHeaderBytes  = 64 << 10
+	operatorsStop   = time.Second
 	// peerListener is the place of the peer port among the listeners, behind those of HTTP servers.
 	peerListener = 3
 )
@@ -86,6 +88,8 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       exchangeTimeout,
+		WriteTimeout:      exchangeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
