--- a/cftd/entry/call.go
+++ b/cftd/entry/call.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
-	"comfreytack/cftd/relay"
 	"comfreytack/core/model"
 	"comfreytack/core/wire"
 )
@@ -19,7 +19,7 @@
 var idempotentMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace}
 
 // readCall works out what the caller asks and under which contract. Failures have verdict NotRun.
-func readCall(r *http.Request, snapshot *model.Snapshot, body *relay.Body, now time.Time) (model.Call, *model.Failure) {
+func readCall(r *http.Request, snapshot *model.Snapshot, now time.Time) (model.Call, *model.Failure) {
 	service, path := serviceOf(r)
 	call := model.Call{
 		ID:       r.Header.Get(wire.HeaderRequestID),
@@ -31,6 +31,9 @@
 	if call.ID == "" {
 		call.ID = uuid.NewString()
 	}
+	if err := wire.TakeKey(r.Header, wire.HeaderIdempotencyKey, &call); err != nil {
+		return call, failureOf(err)
+	}
 	if !snapshot.Ready {
 		return call, refuse(model.NotReady)
 	}
@@ -43,19 +46,27 @@
 		return call, refuse(model.NoService)
 	}
 	call.Class, call.Idempotent = classify(published.Routes, r.Method, path)
-	call.Fingerprint = body.Fingerprint(call.Customer, r.Method, path+"?"+r.URL.RawQuery)
 	return call, setDeadline(&call, r.Header, limits, now)
 }
 
 // serviceOf splits "/svc/reservas/holds" into "reservas" and "/holds"; other paths go by the Host header.
 func serviceOf(r *http.Request) (model.ServiceName, string) {
-	rest, named := strings.CutPrefix(r.URL.Path, servicePrefix)
-	if !named {
+	service, path := splitPath(r.URL.Path)
+	if service == "" {
 		host, _, _ := strings.Cut(r.Host, ":")
-		return model.ServiceName(host), r.URL.Path
+		service = host
 	}
-	service, path, _ := strings.Cut(rest, "/")
-	return model.ServiceName(service), "/" + path
+	return model.ServiceName(service), path
+}
+
+// splitPath splits "/svc/reservas/holds" into "reservas" and "/holds", and "/holds" into "" and "/holds".
+func splitPath(whole string) (service, path string) {
+	rest, named := strings.CutPrefix(whole, servicePrefix)
+	if !named {
+		return "", whole
+	}
+	service, path, _ = strings.Cut(rest, "/")
+	return service, "/" + path
 }
 
 // classify finds the first route that matches. Requests without one are short.
@@ -89,3 +100,12 @@
 func refuse(reason model.Reason) *model.Failure {
 	return &model.Failure{Verdict: model.NotRun, Reason: reason}
 }
+
+// failureOf returns the failure that err is; package wire gives no other errors.
+func failureOf(err error) *model.Failure {
+	var failure *model.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err}
+}
--- a/cftd/relay/count.go
+++ b/cftd/relay/count.go
@@ -3,22 +3,94 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
+	"sync"
+
+	"github.com/pkg/errors"
 )
 
-// countingConn counts the bytes that were handed to the kernel, so that a failed exchange is known
-// to have sent nothing when the count has not moved.
+// errStray ends a connection on which bytes arrived that answer no request.
+var errStray = errors.New("the other side sent bytes before it was asked")
+
+// countingConn ties bytes to requests. It tells whether a byte of a request may have left, and it makes sure
+// that what was received before the request was sent is not taken for its answer: net/http gives a
+// connection to the next request without looking at what follows the end of the last answer.
 type countingConn struct {
 	net.Conn
-	written atomic.Int64
+
+	mu sync.Mutex
+	// changed is signalled when reading or closed is set.
+	changed *sync.Cond
+	// written counts the bytes that were handed to the kernel, or are about to be.
+	written int64
+	// reading is true while a Read waits; then everything received before has been used.
+	reading bool
+	// asked is true once a byte of the newest request was written.
+	asked  bool
+	closed bool
+}
+
+func newCountingConn(conn net.Conn) *countingConn {
+	c := &countingConn{Conn: conn}
+	c.changed = sync.NewCond(&c.mu)
+	return c
 }
 
+// Write counts before it writes, so that a request whose exchange was given up meanwhile is not taken for
+// one that never left. The first write of a request waits until the answers to earlier ones are used up.
 func (c *countingConn) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
-	c.written.Add(int64(n))
+	c.mu.Lock()
+	for !c.asked && !c.reading && !c.closed {
+		c.changed.Wait()
+	}
+	if c.closed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.asked = true
+	c.written += int64(len(data))
+	c.mu.Unlock()
+	return c.Conn.Write(data)
+}
+
+// Read fails when bytes arrive that no request has asked for.
+func (c *countingConn) Read(data []byte) (int, error) {
+	c.mu.Lock()
+	c.reading = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	n, err := c.Conn.Read(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if n > 0 && !c.asked {
+		return 0, errStray
+	}
 	return n, err
 }
 
+// Close ends a waiting Write, too.
+func (c *countingConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// next begins a new request and returns the count of bytes before it.
+func (c *countingConn) next() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = false
+	return c.written
+}
+
+func (c *countingConn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
 // dialCounting wraps each new connection.
 func dialCounting(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -26,14 +98,16 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return newCountingConn(conn), nil
 	}
 }
 
-// progress tells whether any byte of one request was written.
+// progress tells whether any byte of one request was written. The transport calls obtained before it
+// writes, and again if it changes to another connection because it wrote nothing on the first.
 type progress struct {
-	conn   atomic.Pointer[countingConn]
-	before atomic.Int64
+	mu     sync.Mutex
+	conn   *countingConn
+	before int64
 }
 
 // obtained notes the connection that the request will use.
@@ -42,12 +116,25 @@
 	if !ok {
 		return
 	}
-	p.before.Store(counting.written.Load())
-	p.conn.Store(counting)
+	before := counting.next()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conn = counting
+	p.before = before
 }
 
 // wrote says whether a byte of the request may have left.
 func (p *progress) wrote() bool {
-	conn := p.conn.Load()
-	return conn != nil && conn.written.Load() != p.before.Load()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn != nil && p.conn.count() != p.before
+}
+
+// abort closes the connection, so that nothing more of the request leaves.
+func (p *progress) abort() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		_ = p.conn.Close()
+	}
 }
