Linger on a planned stop, learn classes at the gate, and close idle connections first

Cause: a stopping daemon closed idle connections while peers could still send on them, which leaves a hold in doubt; an upstream's own idle limit does the same; unnamed long routes counted as short. Chosen: for 2 s a stopping daemon refuses with not_run and asks clients to close; connections to upstreams are dropped after 4 s idle; the gate asks class.Book for unnamed routes. Ruled out: http.Server.SetKeepAlivesEnabled(false), which closes idle connections at once.

--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -4,11 +4,13 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/admit"
+	"comfreytack/core/command/class"
 	"comfreytack/core/model"
 	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
@@ -27,6 +29,8 @@
 	Now func() time.Time
 	// Meter records waits.
 	Meter *meter.Meter
+	// Classes learns which unnamed routes are long.
+	Classes *class.Book
 	// Flight follows what runs on the upstream.
 	Flight *flight.Flight
 }
@@ -35,6 +39,9 @@
 type Gate[D admit.Discipline] struct {
 	settings Settings
 	hold     *hold.Gate[D]
+
+	// learning guards Classes, which belongs to no single goroutine here.
+	learning sync.Mutex
 }
 
 // New returns a gate.
@@ -44,6 +51,7 @@
 
 // Run waits for a slot and sends the request to the upstream. Closing the answer's body frees the slot.
 func (g *Gate[D]) Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
+	call.Class = max(call.Class, g.classOf(call))
 	end, failure := g.settings.Flight.Begin(ctx, call)
 	if failure != nil {
 		return nil, failure
@@ -54,6 +62,7 @@
 		return nil, failure
 	}
 	g.settings.Meter.Wait(call, slot.Waited)
+	started := g.settings.Now()
 	answer, failure := g.trip(ctx, call, request)
 	if failure != nil {
 		slot.Release()
@@ -62,12 +71,32 @@
 	}
 	watched := relay.Watch(answer.Body)
 	answer.Body = relay.OnClose(watched, func() {
+		broken := brokenOff(ctx, watched)
+		if broken == nil && ctx.Err() == nil {
+			g.learn(call, g.settings.Now().Sub(started))
+		}
 		slot.Release()
-		end(brokenOff(ctx, watched))
+		end(broken)
 	})
 	return answer, nil
 }
 
+// classOf returns the class that the service names, or the one learnt from earlier runs.
+func (g *Gate[D]) classOf(call model.Call) model.Class {
+	service := g.settings.Snapshot().Services[call.Service]
+	g.learning.Lock()
+	defer g.learning.Unlock()
+	return g.settings.Classes.Of(service, call.Method, call.Path)
+}
+
+func (g *Gate[D]) learn(call model.Call, held time.Duration) {
+	service := g.settings.Snapshot().Services[call.Service]
+	mean := g.hold.ShortService()
+	g.learning.Lock()
+	defer g.learning.Unlock()
+	g.settings.Classes.Ran(service, call.Method, call.Path, held, mean)
+}
+
 func (g *Gate[D]) trip(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	request.Address = g.settings.Upstream
 	wire.DropOwn(request.Header)
--- a/cftd/relay/trip.go
+++ b/cftd/relay/trip.go
@@ -17,7 +17,6 @@
 
 const (
 	dialTimeout       = 250 * time.Millisecond
-	idleConnTimeout   = 60 * time.Second
 	continueTimeout   = time.Second
 	maxAnswerHeader   = 1 << 20
 	connWriteBuffer   = 16 << 10
@@ -32,13 +31,15 @@
 }
 
 // NewTransport returns a transport that holds at most the given number of connections to one address.
-func NewTransport(connections int) *http.Transport {
+// It closes a connection that was idle for the given time, which must be less than the receiver's own
+// limit: a request that meets the receiver's close on its way is in doubt.
+func NewTransport(connections int, idle time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext:            dialCounting(dialer),
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    min(connections, maxIdlePerAddress),
-		IdleConnTimeout:        idleConnTimeout,
+		IdleConnTimeout:        idle,
 		ExpectContinueTimeout:  continueTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeader,
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -18,6 +18,7 @@
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/admit"
 	"comfreytack/core/command/budget"
+	"comfreytack/core/command/class"
 	"comfreytack/core/command/daemon"
 	"comfreytack/core/command/ledger"
 	"comfreytack/core/command/load"
@@ -37,6 +38,11 @@
 	upstreamConnections = 200
 	gateConnections     = 64
 	firstSlots          = 10
+	// upstreamIdle is below the idle limits that servers usually have, of 5 s and more.
+	upstreamIdle = 4 * time.Second
+	// gateIdle is below idleTimeout, the limit of the gates' own servers.
+	gateIdle      = time.Minute
+	learntClasses = 1024
 	// What a home remembers for each customer.
 	keysPerCustomer        = 1024
 	answerBytesPerCustomer = 128 << 10
@@ -94,10 +100,11 @@
 func buildGate[D admit.Discipline](p plan, discipline D) (*parts, error) {
 	local := gate.New(gate.Settings{
 		Upstream:  p.settings.Upstream,
-		Transport: relay.NewTransport(upstreamConnections),
+		Transport: relay.NewTransport(upstreamConnections, upstreamIdle),
 		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Meter:     p.meter,
+		Classes:   class.New(learntClasses),
 		Flight: flight.New(flight.Settings{
 			Self: p.self,
 			Book: poison.New(poison.DefaultSettings()),
@@ -124,7 +131,7 @@
 		Home:      keeper,
 		Self:      p.self,
 		Local:     local,
-		Transport: relay.NewTransport(gateConnections),
+		Transport: relay.NewTransport(gateConnections, gateIdle),
 		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Send:      sending,
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,8 @@
 	idleTimeout     = 2 * time.Minute
 	maxHeaderBytes  = 64 << 10
 	operatorsStop   = time.Second
+	// stopLinger is how long a stopping daemon still refuses work politely, so that the others hear of it.
+	stopLinger = 2 * time.Second
 	// peerListener is the place of the peer port among the listeners, behind those of HTTP servers.
 	peerListener = 3
 )
@@ -38,7 +41,12 @@
 	defer stopControl()
 	var running errgroup.Group
 	running.Go(func() error { return parts.control(control, listeners[peerListener]) })
-	servers := []*http.Server{newServer(parts.callers), newServer(parts.gate), newServer(parts.operators)}
+	var stopping atomic.Bool
+	servers := []*http.Server{
+		newServer(closeWhen(&stopping, parts.callers)),
+		newServer(closeWhen(&stopping, parts.gate)),
+		newServer(parts.operators),
+	}
 	for i, server := range servers {
 		running.Go(func() error { return ignoreClosed(server.Serve(listeners[i])) })
 	}
@@ -46,7 +54,11 @@
 	<-ctx.Done()
 	log.Info("stopping", "name", settings.Name)
 	parts.stop()
-	err = shutDown(servers, parts.finish, time.Duration(settings.StopMs)*time.Millisecond)
+	stopping.Store(true)
+	longest := time.Duration(settings.StopMs) * time.Millisecond
+	linger := min(stopLinger, longest/2)
+	time.Sleep(linger)
+	err = shutDown(servers, parts.finish, longest-linger)
 	stopControl()
 	if waitErr := running.Wait(); err == nil {
 		err = waitErr
@@ -55,6 +67,17 @@
 	return err
 }
 
+// closeWhen asks clients to close their connections once the daemon stops, so that none of them is
+// cut off later with a request on its way.
+func closeWhen(stopping *atomic.Bool, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // shutDown lets callers' and peers' calls finish first, then keyed calls whose callers have left; the
 // operators' port is the last to close.
 func shutDown(servers []*http.Server, finish func(context.Context), longest time.Duration) error {
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -82,6 +82,13 @@
 	return report
 }
 
+// ShortService returns the recent mean service time of short work; zero before the first was measured.
+func (g *Gate[D]) ShortService() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.ShortService()
+}
+
 func (g *Gate[D]) arrive(now time.Time, call model.Call) (uint64, admit.Decision, chan admit.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
