--- a/core/query/status/status.go
+++ b/core/query/status/status.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"comfreytack/core/model"
@@ -27,6 +28,8 @@
 	Services []ServiceView `json:"services"`
 	// Leaving lists the upstreams that take no new work, by name.
 	Leaving []model.UpstreamName `json:"leaving"`
+	// Refusals has the published values that are not in force, by key.
+	Refusals []model.Refusal `json:"refusals"`
 	// Quarantined counts the quarantined fingerprints.
 	Quarantined int `json:"quarantined"`
 }
@@ -53,6 +56,7 @@
 		Gate:        gate,
 		Services:    []ServiceView{},
 		Leaving:     snapshot.Leaving.ToSlice(),
+		Refusals:    slices.AppendSeq([]model.Refusal{}, maps.Values(snapshot.Refusals)),
 		Quarantined: len(snapshot.Quarantine),
 	}
 	for _, service := range snapshot.Services {
@@ -60,6 +64,7 @@
 	}
 	slices.SortFunc(view.Services, func(a, b ServiceView) int { return cmp.Compare(a.Name, b.Name) })
 	slices.Sort(view.Leaving)
+	slices.SortFunc(view.Refusals, func(a, b model.Refusal) int { return cmp.Compare(a.Key, b.Key) })
 	return view
 }
 
