--- a/cftlab/loader/schedule.go
+++ b/cftlab/loader/schedule.go
@@ -14,15 +14,15 @@
 	at := time.Duration(0)
 	for at < span {
 		rate, until := rateAt(stream, at, span)
-		next := until
-		if rate > 0 {
-			next = at + time.Duration(random.ExpFloat64()/rate*float64(time.Second))
+		gap := until - at
+		// Compared in seconds: at a tiny rate the drawn gap does not fit into a Duration.
+		if drawn := random.ExpFloat64() / rate; rate > 0 && drawn < gap.Seconds() {
+			gap = time.Duration(drawn * float64(time.Second))
 		}
-		if next >= until {
-			at = until
+		at += gap
+		if at >= until {
 			continue
 		}
-		at = next
 		schedule = append(schedule, at)
 	}
 	return schedule
--- a/cftlab/verbs/demo.go
+++ b/cftlab/verbs/demo.go
@@ -60,6 +60,7 @@
 		return err
 	}
 	if ctx.Err() != nil {
+		_ = os.RemoveAll(folder) // an interrupted demo has nothing to show
 		return errors.New("interrupted; all processes were stopped")
 	}
 	err = report(streams, records, running)
@@ -116,7 +117,7 @@
 func disturbances(deployment deploy.Deployment, site deploy.Site, running *fleet.Fleet) []disturbance {
 	read := site.Of(service(deployment.Plan, true))
 	write := site.Of(service(deployment.Plan, false))
-	drains, slows, dies := read[0], read[1], write[0]
+	drains, slows, dies := read[0], read[len(read)-1], write[0]
 	return []disturbance{
 		{share: 0.2, text: fmt.Sprintf("%s drains", drains.Daemon.Name), apply: func(ctx context.Context) error {
 			return running.Switch(ctx, drains, stub.Change{Drain: mo.Some(true)})
