--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -19,6 +19,7 @@
 			relay.WriteFailure(w, failure)
 			return
 		}
+		relay.Limit(w, call.Deadline)
 		ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 		defer cancel()
 		serve(ctx, w, r, g, call)
--- a/cftd/relay/answer.go
+++ b/cftd/relay/answer.go
@@ -1,37 +1,59 @@
 package relay
 
 import (
+	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"comfreytack/core/model"
 	"comfreytack/core/wire"
 )
 
-const copyBufferBytes = 32 << 10
+const (
+	copyBufferBytes = 32 << 10
+	// tellGrace is the time to tell a caller that its deadline has passed.
+	tellGrace = time.Second
+)
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
-// WriteAnswer passes an answer on. It returns a failure when the answer broke off; the caller's
-// connection must then be aborted, because a part of the answer may be on its way.
+// WriteAnswer passes an answer on. It returns a failure when the answer broke off, with reason Truncated, or
+// when the caller did not take it, with reason CallerGone; the caller's connection must then be aborted,
+// because a part of the answer may be on its way.
 func WriteAnswer(w http.ResponseWriter, answer *http.Response) *model.Failure {
 	defer answer.Body.Close()
 	header := w.Header()
 	CopyHeader(header, answer.Header)
-	for name := range answer.Trailer {
+	declared := slices.Collect(maps.Keys(answer.Trailer))
+	for _, name := range declared {
 		header.Add("Trailer", name)
 	}
 	w.WriteHeader(answer.StatusCode)
-	if err := copyBody(w, answer); err != nil {
-		return &model.Failure{Verdict: model.MayHaveRun, Reason: model.Truncated, Cause: err}
+	if failure := copyBody(w, answer); failure != nil {
+		return failure
 	}
-	for name, values := range answer.Trailer {
+	writeTrailer(header, answer.Trailer, declared)
+	return nil
+}
+
+// writeTrailer adds the trailers that came, declared ones and others.
+func writeTrailer(header, trailer http.Header, declared []string) {
+	wire.DropOwn(trailer)
+	for name, values := range trailer {
+		if !slices.Contains(declared, name) {
+			name = http.TrailerPrefix + name
+		}
 		for _, value := range values {
 			header.Add(name, value)
 		}
 	}
-	return nil
 }
 
 // WriteFailure sends a failure as a small JSON body with its verdict and reason in the headers.
@@ -40,36 +62,63 @@
 	wire.PutFailure(header, failure)
 	header.Set("Content-Type", "application/json")
 	w.WriteHeader(wire.Status(failure.Reason))
-	_, _ = io.WriteString(w, `{"verdict":"`+failure.Verdict.String()+`","reason":"`+failure.Reason.String()+`"}`+"\n")
+	text := failureText{Verdict: failure.Verdict, Reason: failure.Reason}
+	if failure.Cause != nil && (failure.Reason == model.BadRequest || failure.Reason == model.KeyUnknown) {
+		text.Detail = failure.Cause.Error()
+	}
+	_ = json.NewEncoder(w).Encode(text)
+}
+
+// failureText is the body of a failure.
+type failureText struct {
+	Verdict model.Verdict `json:"verdict"`
+	Reason  model.Reason  `json:"reason"`
+	// Detail says what was wrong with the request; empty for other failures.
+	Detail string `json:"detail,omitempty"`
 }
 
 // copyBody flushes after each read when the length is unknown, so that a stream is not held back.
-func copyBody(w http.ResponseWriter, answer *http.Response) error {
-	if answer.ContentLength >= 0 {
-		_, err := io.Copy(w, answer.Body)
-		return err
-	}
+func copyBody(w http.ResponseWriter, answer *http.Response) *model.Failure {
 	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
 	for {
-		n, err := answer.Body.Read(buffer)
-		if n > 0 {
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return err
-			}
-			if err := controller.Flush(); err != nil {
-				return err
-			}
+		n, err := answer.Body.Read(buffer[:])
+		if gone := writePart(w, controller, buffer[:n], answer.ContentLength < 0); gone != nil {
+			return &model.Failure{Verdict: model.MayHaveRun, Reason: model.CallerGone, Cause: gone}
 		}
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
-			return err
+			return &model.Failure{Verdict: model.MayHaveRun, Reason: model.Truncated, Cause: err}
 		}
 	}
 }
 
+func writePart(w http.ResponseWriter, controller *http.ResponseController, part []byte, flush bool) error {
+	if len(part) == 0 {
+		return nil
+	}
+	if _, err := w.Write(part); err != nil {
+		return err
+	}
+	if flush {
+		return controller.Flush()
+	}
+	return nil
+}
+
+// Limit bounds how long the caller's side may take to send its request and to read the answer. With it the
+// answer may also begin before the whole request was read.
+func Limit(w http.ResponseWriter, deadline time.Time) {
+	controller := http.NewResponseController(w)
+	// These fail only on writers that have no connection, such as those of tests.
+	_ = controller.SetReadDeadline(deadline.Add(tellGrace))
+	_ = controller.SetWriteDeadline(deadline.Add(tellGrace))
+	_ = controller.EnableFullDuplex()
+}
+
 func splitList(list string) []string {
 	var names []string
 	for name := range strings.SplitSeq(list, ",") {
@@ -78,6 +127,34 @@
 	return names
 }
 
+// Watched is a body that remembers how its reading ended.
+type Watched struct {
+	io.ReadCloser
+	err atomic.Pointer[error]
+}
+
+// Watch returns the body with a memory for its error.
+func Watch(body io.ReadCloser) *Watched {
+	return &Watched{ReadCloser: body}
+}
+
+// Read implements io.Reader.
+func (w *Watched) Read(data []byte) (int, error) {
+	n, err := w.ReadCloser.Read(data)
+	if err != nil && err != io.EOF {
+		w.err.Store(&err)
+	}
+	return n, err
+}
+
+// Broken returns the error that ended the body early, or nil.
+func (w *Watched) Broken() error {
+	if err := w.err.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
 // OnClose returns the body with a function that is called once, when it is closed.
 func OnClose(body io.ReadCloser, closed func()) io.ReadCloser {
 	return &closing{ReadCloser: body, closed: sync.OnceFunc(closed)}
--- a/cftd/relay/trip.go
+++ b/cftd/relay/trip.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"comfreytack/core/model"
 )
 
@@ -68,10 +71,34 @@
 	})
 	outgoing := outgoingRequest(request).WithContext(ctx)
 	answer, err := transport.RoundTrip(outgoing)
-	if err == nil {
-		return answer, nil
+	if err != nil {
+		return nil, tripFailure(ctx, err, sent.wrote(), lost)
+	}
+	if !sent.wrote() {
+		// What came back answers an earlier request.
+		sent.abort()
+		_ = answer.Body.Close()
+		return nil, tripFailure(ctx, errStray, sent.wrote(), lost)
+	}
+	if err := checkFraming(request.Method, answer); err != nil {
+		sent.abort()
+		_ = answer.Body.Close()
+		return nil, &model.Failure{Verdict: model.MayHaveRun, Reason: model.Truncated, Cause: err}
 	}
-	return nil, tripFailure(ctx, err, sent.wrote(), lost)
+	return answer, nil
+}
+
+// checkFraming refuses answers whose end nobody could tell from a broken connection.
+func checkFraming(method string, answer *http.Response) error {
+	switch {
+	case answer.StatusCode < http.StatusOK:
+		return errors.Errorf("unexpected status %d", answer.StatusCode)
+	case method == http.MethodHead, answer.StatusCode == http.StatusNoContent, answer.StatusCode == http.StatusNotModified:
+		return nil
+	case answer.ContentLength < 0 && len(answer.TransferEncoding) == 0:
+		return errors.New("the answer has neither a length nor chunks")
+	}
+	return nil
 }
 
 func outgoingRequest(request Request) *http.Request {
@@ -126,3 +153,13 @@
 	}
 	return failure
 }
+
+// Refuses says whether the address refuses a new connection, as that of a process that has ended does.
+func Refuses(address model.Address) bool {
+	conn, err := net.DialTimeout("tcp", string(address), dialTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -10,27 +12,35 @@
 
 	"comfreytack/cftd/entry"
 	"comfreytack/cftd/gate"
+	"comfreytack/cftd/home"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/oper"
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/admit"
+	"comfreytack/core/command/budget"
 	"comfreytack/core/command/daemon"
+	"comfreytack/core/command/ledger"
 	"comfreytack/core/command/load"
+	"comfreytack/core/command/poison"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/query/route"
 	"comfreytack/core/setup"
+	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/traffic/send"
 )
 
 const (
 	beatInterval        = 50 * time.Millisecond
-	pauseLimit          = time.Second
 	eventBacklog        = 4096
 	upstreamConnections = 200
 	gateConnections     = 64
 	firstSlots          = 10
+	// What a home remembers for each customer.
+	keysPerCustomer        = 1024
+	answerBytesPerCustomer = 128 << 10
+	answerLifetime         = 10 * time.Minute
 )
 
 // parts are the running pieces of a daemon.
@@ -38,8 +48,10 @@
 	callers   http.Handler
 	gate      http.Handler
 	operators http.Handler
-	control   func(context.Context)
+	control   func(context.Context, net.Listener) error
 	stop      func()
+	// finish waits for work that no connection waits for.
+	finish func(context.Context)
 }
 
 // plan is what every part is built from.
@@ -48,15 +60,15 @@
 	options  Options
 	log      *slog.Logger
 	self     model.Upstream
+	plane    *controlPlane
 	control  *loop.Loop[daemon.Event, daemon.Effect]
 	meter    *meter.Meter
 }
 
 func build(settings setup.Settings, options Options, log *slog.Logger) (*parts, error) {
 	self := selfOf(settings, time.Now())
-	state := daemon.New(self)
-	control := loop.New(loop.Settings{Beat: beatInterval, Backlog: eventBacklog, Now: time.Now}, state, func(daemon.Effect) {})
-	p := plan{settings: settings, options: options, log: log, self: self, control: control, meter: meter.New()}
+	plane := newControl(settings, self, log)
+	p := plan{settings: settings, options: options, log: log, self: self, plane: plane, control: plane.loop, meter: meter.New()}
 	switch options.Discipline {
 	case "fair":
 		return buildGate(p, admit.NewFair())
@@ -86,16 +98,30 @@
 		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Meter:     p.meter,
+		Flight: flight.New(flight.Settings{
+			Self: p.self,
+			Book: poison.New(poison.DefaultSettings()),
+			Now:  time.Now,
+			Down: func() bool { return relay.Refuses(p.settings.Upstream) },
+		}),
 	}, hold.New(hold.Settings{
-		Snapshot:   p.control.Snapshot,
-		Now:        time.Now,
-		PauseLimit: pauseLimit,
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
 	}, admit.New(firstSlots, discipline)))
 	sending, err := buildSend(p)
 	if err != nil {
 		return nil, err
 	}
+	keeper := home.New(home.Settings{
+		Self:     p.self,
+		Life:     model.Incarnation(rand.Uint64()),
+		Ledger:   ledger.Settings{Keys: keysPerCustomer, AnswerBytes: answerBytesPerCustomer, AnswerLifetime: answerLifetime},
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
+		Meter:    p.meter,
+	})
 	front := entry.New(entry.Settings{
+		Home:      keeper,
 		Self:      p.self,
 		Local:     local,
 		Transport: relay.NewTransport(gateConnections),
@@ -106,10 +132,11 @@
 	})
 	return &parts{
 		callers:   front.Handler(),
-		gate:      gate.Handler(local),
+		gate:      front.GateHandler(gate.Handler(local)),
 		operators: oper.Handler(oper.Settings{Snapshot: p.control.Snapshot, Report: local.Report, Meter: p.meter, Version: Version}),
-		control:   func(ctx context.Context) { runControl(ctx, p) },
+		control:   p.plane.run,
 		stop:      func() { p.control.Post(daemon.StopAsked{}) },
+		finish:    keeper.Wait,
 	}, nil
 }
 
@@ -122,7 +149,12 @@
 }
 
 func sendBy[P route.Policy](p plan, policy P) entry.Send {
-	sender := send.New(p.control.Snapshot, time.Now, route.New(policy), load.New(p.self, load.DefaultSettings()))
+	sender := send.New(send.Settings{
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
+		Book:     load.New(p.self, load.DefaultSettings()),
+		Retries:  budget.New(budget.DefaultSettings()),
+	}, route.New(policy))
 	return func(ctx context.Context, call model.Call, carrier send.Carrier[*http.Response]) (*http.Response, *model.Failure) {
 		return send.Send(ctx, sender, call, carrier)
 	}
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -15,9 +15,13 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	operatorsStop     = time.Second
+	// exchangeTimeout holds for exchanges that are not calls; a call has its deadline instead.
+	exchangeTimeout = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
+	maxHeaderBytes  = 64 << 10
+	operatorsStop   = time.Second
+	// peerListener is the place of the peer port among the listeners, behind those of HTTP servers.
+	peerListener = 3
 )
 
 // serve runs the daemon until ctx ends, then finishes what is in flight.
@@ -33,7 +37,7 @@
 	control, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	var running errgroup.Group
-	running.Go(func() error { parts.control(control); return nil })
+	running.Go(func() error { return parts.control(control, listeners[peerListener]) })
 	servers := []*http.Server{newServer(parts.callers), newServer(parts.gate), newServer(parts.operators)}
 	for i, server := range servers {
 		running.Go(func() error { return ignoreClosed(server.Serve(listeners[i])) })
@@ -42,7 +46,7 @@
 	<-ctx.Done()
 	log.Info("stopping", "name", settings.Name)
 	parts.stop()
-	err = shutDown(servers, time.Duration(settings.StopMs)*time.Millisecond)
+	err = shutDown(servers, parts.finish, time.Duration(settings.StopMs)*time.Millisecond)
 	stopControl()
 	if waitErr := running.Wait(); err == nil {
 		err = waitErr
@@ -51,8 +55,9 @@
 	return err
 }
 
-// shutDown lets callers' and peers' calls finish first; the operators' port is the last to close.
-func shutDown(servers []*http.Server, longest time.Duration) error {
+// shutDown lets callers' and peers' calls finish first, then keyed calls whose callers have left; the
+// operators' port is the last to close.
+func shutDown(servers []*http.Server, finish func(context.Context), longest time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), longest)
 	defer cancel()
 	var closing errgroup.Group
@@ -60,6 +65,7 @@
 		closing.Go(func() error { return server.Shutdown(ctx) })
 	}
 	err := closing.Wait()
+	finish(ctx)
 	last, cancelLast := context.WithTimeout(context.Background(), operatorsStop)
 	defer cancelLast()
 	_ = servers[2].Shutdown(last)
@@ -68,7 +74,7 @@
 
 func listen(settings setup.Settings) ([]net.Listener, error) {
 	var listeners []net.Listener
-	for _, address := range []string{string(settings.Callers), string(settings.Gate), string(settings.Operators)} {
+	for _, address := range []string{string(settings.Callers), string(settings.Gate), string(settings.Operators), string(settings.Peer)} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", address)
@@ -82,6 +88,8 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       exchangeTimeout,
+		WriteTimeout:      exchangeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
