Drive many daemons through random faults

Found by it: a mark published before a daemon was told to stop took the stop back at daemons that knew it (notices now carry stopping), and an entry of the instance list that came after a notice ended it (the author now renews its notice).

--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"comfreytack/core/command/leave"
 	"comfreytack/core/command/member"
 	"comfreytack/core/command/pause"
+	"comfreytack/core/command/poison"
 	"comfreytack/core/command/reader"
 	"comfreytack/core/model"
 )
@@ -27,6 +28,8 @@
 	Seeds []model.Address
 	// Calls names the services that callers of this daemon use; empty means all.
 	Calls []model.ServiceName
+	// Poison is the book that the gate writes to; nil makes an own one.
+	Poison *poison.Book
 	// Random spreads the daemon's timers and choices.
 	Random *rand.Rand
 }
@@ -61,6 +64,9 @@
 
 // New returns the state of a daemon that has learnt nothing yet.
 func New(settings Settings, now time.Time) *State {
+	if settings.Poison == nil {
+		settings.Poison = poison.New(poison.DefaultSettings())
+	}
 	self := member.PeerOf(settings.Self)
 	self.Incarnation = settings.Self.Incarnation
 	wanted := mapset.NewThreadUnsafeSet(settings.Calls...)
@@ -94,6 +100,8 @@
 		s.Members.Lost(now, e.Address)
 		s.Start.Silent.Remove(e.Address)
 		s.Gossip.Answered(e.Address)
+	case CrashSeen:
+		s.Gossip.News = true
 	case CallFailed:
 		s.callFailed(now, e.Upstream)
 	case UpstreamProbed:
@@ -115,6 +123,7 @@
 func (s *State) Beat(now time.Time, _ time.Duration) []Effect {
 	effects := s.ran(now)
 	s.Start.judge(now, s.Config.Complete)
+	s.view.Quarantine = s.Settings.Poison.Quarantined(now)
 	effects = append(effects, s.askPeers(now)...)
 	effects = append(effects, s.announce(now)...)
 	if s.Gossip.DigestDue(now) {
@@ -149,15 +158,11 @@
 // changesRead takes the end of a read of the platform. A replica that is behind this daemon proves nothing.
 func (s *State) changesRead(now time.Time, e ChangesRead) {
 	current := !e.Failed && e.Delta.Revision >= s.Config.Complete
-	s.Reader.Ended(now, current, s.Settings.Random)
-	if e.Failed {
-		return
-	}
-	s.outcome(s.Config.Apply(e.Delta))
-	if !s.Start.PlatformRead {
-		s.Start.PlatformRead = true
-		s.Start.await(s.Members.Everyone())
+	if !e.Failed {
+		s.outcome(s.Config.Apply(e.Delta))
+		s.Start.platformRead(s.Members.Everyone())
 	}
+	s.Reader.Ended(now, current, s.Settings.Random)
 }
 
 // outcome follows up a run of changes or a copy.
@@ -165,8 +170,13 @@
 	if outcome != config.Applied && outcome != config.Healed {
 		return
 	}
-	s.Members.Published(s.upstreams())
+	upstreams := s.upstreams()
+	s.Members.Published(upstreams)
+	if s.Config.Wanted.Cardinality() == 0 {
+		s.Reader.Fleet = len(upstreams)
+	}
 	s.Gossip.News = true
+	s.renewNotice()
 	s.rebuild()
 }
 
@@ -180,19 +190,44 @@
 
 // leaveSelf says that the upstream beside this daemon takes no new work.
 func (s *State) leaveSelf() {
-	name := s.self.Name
-	notice := leave.Notice{Upstream: name, Incarnation: s.self.Incarnation, Leaving: true, Mark: s.Config.Marks.Entries[name].Revision}
-	for _, upstream := range s.Config.Services.Entries[s.self.Service].Value.Upstreams {
-		if upstream.Name == name {
-			notice.Listed = upstream.Incarnation
-		}
+	s.giveNotice(leave.Notice{
+		Upstream:    s.self.Name,
+		Incarnation: s.self.Incarnation,
+		Leaving:     true,
+		Stopping:    s.Stopping,
+		Listed:      s.listedSelf().Incarnation,
+		Mark:        s.Config.Marks.Entries[s.self.Name].Revision,
+	})
+}
+
+// renewNotice keeps an own notice in step with the instance list: the list lags, so an entry that
+// appears after the notice may still speak of this life.
+func (s *State) renewNotice() {
+	notice := s.Leaves.Notices[s.self.Name]
+	if !notice.Leaving || notice.Incarnation != s.self.Incarnation {
+		return
 	}
+	notice.Listed = max(notice.Listed, s.listedSelf().Incarnation)
+	s.giveNotice(notice)
+}
+
+func (s *State) giveNotice(notice leave.Notice) {
 	if s.Leaves.Merge([]leave.Notice{notice}) {
 		s.Gossip.News = true
 		s.rebuild()
 	}
 }
 
+// listedSelf returns the own entry of the instance list, or its zero value.
+func (s *State) listedSelf() model.Upstream {
+	for _, upstream := range s.Config.Services.Entries[s.self.Service].Value.Upstreams {
+		if upstream.Name == s.self.Name {
+			return upstream
+		}
+	}
+	return model.Upstream{}
+}
+
 // upstreams returns the entries of all kept services in a stable order.
 func (s *State) upstreams() []model.Upstream {
 	names := make([]model.ServiceName, 0, len(s.Config.Services.Entries))
--- a/core/command/daemon/event.go
+++ b/core/command/daemon/event.go
@@ -39,6 +39,9 @@
 	Upstream model.UpstreamName
 }
 
+// CrashSeen tells that the poison book has new evidence to pass on.
+type CrashSeen struct{}
+
 // StopAsked tells that the daemon has to stop.
 type StopAsked struct{}
 
@@ -47,6 +50,7 @@
 func (PeerLost) event()       {}
 func (UpstreamProbed) event() {}
 func (CallFailed) event()     {}
+func (CrashSeen) event()      {}
 func (StopAsked) event()      {}
 
 // Effect is something that the daemon has to do outside its control state.
--- /dev/null
+++ b/core/command/daemon/faults_test.go
@@ -0,0 +1,255 @@
+package daemon_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"comfreytack/core/command/daemon"
+	"comfreytack/core/command/reader"
+	"comfreytack/core/model"
+)
+
+// TestMain fixes the seed, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// settleTime is how long daemons may take to agree once all faults are over.
+const settleTime = 90 * time.Second
+
+// faults drives a world through random faults and keeps what must hold.
+type faults struct {
+	*world
+	marks map[model.UpstreamName]model.Mark
+	// left has the upstreams seen leaving by any daemon, with what may take the leaving back.
+	left map[*node]map[model.UpstreamName]seenLeaving
+}
+
+type seenLeaving struct {
+	markAt model.Revision
+	life   int
+	listed model.Incarnation
+}
+
+func (f *faults) pick(t *rapid.T) *node {
+	return f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
+}
+
+func (f *faults) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"publish contract": func(t *rapid.T) {
+			customer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")
+			f.platform.publish("contracts/"+customer, contract(customer, rapid.IntRange(1, 9).Draw(t, "weight")))
+		},
+		"publish invalid contract": func(t *rapid.T) {
+			customer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")
+			f.platform.publish("contracts/"+customer, contract(customer, 0))
+		},
+		"remove contract": func(t *rapid.T) {
+			f.platform.publish("contracts/"+rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"), nil)
+		},
+		"mark": func(t *rapid.T) {
+			n := f.pick(t)
+			intent := rapid.SampledFrom([]model.Intent{model.Joining, model.Leave}).Draw(t, "intent")
+			f.platform.publish("marks/"+string(n.self.Name), model.Mark{Incarnation: n.self.Incarnation, State: intent})
+		},
+		"drain": func(t *rapid.T) {
+			n := f.pick(t)
+			f.apply(n, n.life, daemon.UpstreamProbed{Draining: true})
+		},
+		"stop": func(t *rapid.T) {
+			n := f.pick(t)
+			f.apply(n, n.life, daemon.StopAsked{})
+		},
+		"kill": func(t *rapid.T) { f.pick(t).down = true },
+		"restart": func(t *rapid.T) {
+			f.start(f.pick(t), nil, len(f.nodes))
+		},
+		"replace": func(t *rapid.T) {
+			n := f.pick(t)
+			n.self.Incarnation++
+			f.start(n, nil, len(f.nodes))
+			f.platform.publish("services/s0", f.service(0, len(f.nodes)))
+		},
+		"pause":  func(t *rapid.T) { f.pick(t).paused = true },
+		"resume": func(t *rapid.T) { f.resume(f.pick(t)) },
+		"split": func(t *rapid.T) {
+			for i, n := range f.nodes {
+				n.side = rapid.IntRange(0, 1).Draw(t, fmt.Sprint("side", i))
+				n.disturbedAt = f.now
+			}
+		},
+		"join sides":     func(*rapid.T) { f.joinSides() },
+		"platform down":  func(*rapid.T) { f.platform.down = true },
+		"platform up":    func(*rapid.T) { f.platform.down, f.platform.staleAt = false, 0 },
+		"platform stale": func(*rapid.T) { f.platform.staleAt = max(1, f.platform.revision/2) },
+		"wait":           func(t *rapid.T) { f.run(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms")) * time.Millisecond) },
+		"wait little":    func(t *rapid.T) { f.run(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond) },
+		"":               f.check,
+	}
+}
+
+func (f *faults) joinSides() {
+	for _, n := range f.nodes {
+		n.side = 0
+	}
+}
+
+// check holds after every action.
+func (f *faults) check(t *rapid.T) {
+	for _, n := range f.nodes {
+		if n.down || n.paused {
+			continue
+		}
+		f.checkRevision(t, n)
+		f.checkBudget(t, n)
+		f.checkLeaving(t, n)
+	}
+}
+
+// checkRevision holds that a revision in force never falls: not at a daemon that lives, nor at one
+// that was replaced while a ready daemon that knew it could answer throughout.
+func (f *faults) checkRevision(t *rapid.T, n *node) {
+	complete := n.state.Config.Complete
+	if complete < n.highest {
+		t.Fatalf("%s fell from revision %d to %d", n.self.Name, n.highest, complete)
+	}
+	n.highest = complete
+}
+
+// checkBudget holds that reads of one daemon are apart, whatever it believes.
+func (f *faults) checkBudget(t *rapid.T, n *node) {
+	for i := 1; i < len(n.readAt); i++ {
+		if gap := n.readAt[i].Sub(n.readAt[i-1]); gap < reader.MinGap {
+			t.Fatalf("%s read twice within %v", n.self.Name, gap)
+		}
+	}
+}
+
+// checkLeaving holds that a leaving is taken back only by a newer mark, life or instance entry.
+func (f *faults) checkLeaving(t *rapid.T, n *node) {
+	leaving := n.state.Snapshot(f.now).Leaving
+	seen := f.left[n]
+	for _, other := range f.nodes {
+		name := other.self.Name
+		mark := n.state.Config.Marks.Entries[name]
+		now := seenLeaving{markAt: mark.Revision, life: n.life, listed: f.listed(n, name)}
+		if leaving.Contains(name) {
+			if _, already := seen[name]; !already {
+				seen[name] = now
+			}
+			continue
+		}
+		before, already := seen[name]
+		delete(seen, name)
+		if !already || before.life != n.life {
+			continue
+		}
+		newLife := n.state.Leaves.Notices[name].Incarnation > 0 && !n.state.Leaves.Notices[name].Leaving
+		if now.markAt == before.markAt && now.listed == before.listed && !newLife {
+			t.Fatalf("%s took the leaving of %s back without a newer mark or life", n.self.Name, name)
+		}
+	}
+}
+
+func (f *faults) listed(n *node, name model.UpstreamName) model.Incarnation {
+	for _, upstream := range n.state.Config.Services.Entries["s0"].Value.Upstreams {
+		if upstream.Name == name {
+			return upstream.Incarnation
+		}
+	}
+	return 0
+}
+
+// watchReplacements checks each daemon at the moment it becomes ready.
+func (f *faults) watchReplacements(t *rapid.T) {
+	f.onReady = func(n *node) {
+		for _, other := range f.nodes {
+			undisturbed := !other.down && !other.paused && other.disturbedAt.Before(n.startedAt) && other.side == n.side && n.disturbedAt.Equal(n.startedAt)
+			if other == n || !undisturbed || !other.ready || !other.readyAt.Before(n.startedAt) {
+				continue
+			}
+			if known := other.knewAt(n.startedAt); n.state.Config.Complete < known {
+				t.Fatalf("%s became ready at revision %d, though %s knew %d", n.self.Name, n.state.Config.Complete, other.self.Name, known)
+			}
+		}
+	}
+}
+
+// settle ends all faults and holds that all daemons come to agree.
+func (f *faults) settle(t *rapid.T) {
+	f.joinSides()
+	f.platform.down, f.platform.staleAt = false, 0
+	for _, n := range f.nodes {
+		if n.down {
+			f.start(n, nil, len(f.nodes))
+		}
+		if n.paused {
+			f.resume(n)
+		}
+	}
+	f.platform.publish("contracts/police", contract("police", 30))
+	if took, agreed := f.runUntil(settleTime, f.agree); !agreed {
+		t.Fatalf("no agreement after %v: %s", took, f.differences())
+	}
+}
+
+// agree tells whether all daemons have the newest revision, the same values and the same upstreams leaving.
+func (f *faults) agree() bool {
+	if !f.inForce(f.platform.revision) {
+		return false
+	}
+	first := f.nodes[0].state
+	for _, n := range f.nodes[1:] {
+		same := n.state.Config.Contracts.Hash == first.Config.Contracts.Hash &&
+			n.state.Config.Services.Hash == first.Config.Services.Hash &&
+			n.state.Config.Marks.Hash == first.Config.Marks.Hash &&
+			n.state.Snapshot(f.now).Leaving.Equal(first.Snapshot(f.now).Leaving) &&
+			!n.state.Snapshot(f.now).Suspect
+		if !same {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *faults) differences() string {
+	text := ""
+	for _, n := range f.nodes {
+		snapshot := n.state.Snapshot(f.now)
+		leaving := snapshot.Leaving.ToSlice()
+		slices.Sort(leaving)
+		text += fmt.Sprintf("\n%s ready %v revision %d contracts %x marks %x leaving %v suspect %v",
+			n.self.Name, snapshot.Ready, snapshot.Revision, n.state.Config.Contracts.Hash, n.state.Config.Marks.Hash, leaving, snapshot.Suspect)
+	}
+	return text
+}
+
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 1, rapid.IntRange(1, 7).Draw(t, "daemons"), rapid.IntRange(1, 3).Draw(t, "domains"))
+		w.loss = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss")
+		w.doubling = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "doubling")
+		w.latency = time.Duration(rapid.SampledFrom([]int{1, 20, 200}).Draw(t, "latency ms")) * time.Millisecond
+		f := &faults{world: w, left: map[*node]map[model.UpstreamName]seenLeaving{}}
+		f.watchReplacements(t)
+		for _, n := range w.nodes {
+			f.left[n] = map[model.UpstreamName]seenLeaving{}
+			w.start(n, nil, len(w.nodes))
+		}
+		w.run(15 * time.Second)
+		t.Repeat(f.actions())
+		f.settle(t)
+	})
+}
--- a/core/command/daemon/start.go
+++ b/core/command/daemon/start.go
@@ -62,6 +62,14 @@
 	s.Silent.Append(peers...)
 }
 
+// platformRead takes note of the first successful read. The peers that it made known are awaited too.
+func (s *Start) platformRead(peers []model.Address) {
+	if !s.PlatformRead {
+		s.PlatformRead = true
+		s.await(peers)
+	}
+}
+
 // heard takes the digest of a peer; answered says that it came with an answer that has been applied.
 func (s *Start) heard(from model.Address, digest gossip.Digest, answered bool) {
 	if !digest.Ready {
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -14,6 +14,7 @@
 		return nil
 	}
 	s.Reader.Heard(now, message.Reads)
+	s.Settings.Poison.Merge(now, message.Crashes)
 	news := s.Leaves.Merge(message.Leaves)
 	alive := s.Leaves.Alive(message.From)
 	aliveSelf := s.Leaves.Alive(s.self)
@@ -104,10 +105,11 @@
 // message returns what every message to the given daemon carries.
 func (s *State) message(now time.Time, to model.Address) gossip.Message {
 	return gossip.Message{
-		From:   s.self,
-		Digest: s.digest(),
-		Reads:  s.Reader.News(now, s.Members.DomainOf(to)),
-		Leaves: s.Leaves.Pass(s.Settings.Random.Int()),
+		From:    s.self,
+		Digest:  s.digest(),
+		Reads:   s.Reader.News(now, s.Members.DomainOf(to)),
+		Leaves:  s.Leaves.Pass(s.Settings.Random.Int()),
+		Crashes: s.Settings.Poison.Gossip(now),
 	}
 }
 
--- a/core/command/daemon/view.go
+++ b/core/command/daemon/view.go
@@ -34,12 +34,13 @@
 		leaving.Add(s.self.Name)
 	}
 	s.view = model.Snapshot{
-		Self:      s.Settings.Self,
-		Contracts: contracts,
-		Limits:    limits.Of(contracts, services[s.self.Service].Slots),
-		Services:  services,
-		Leaving:   leaving,
-		Refusals:  maps.Clone(s.Config.Refusals),
+		Self:       s.Settings.Self,
+		Contracts:  contracts,
+		Limits:     limits.Of(contracts, services[s.self.Service].Slots),
+		Services:   services,
+		Leaving:    leaving,
+		Quarantine: s.view.Quarantine,
+		Refusals:   maps.Clone(s.Config.Refusals),
 	}
 }
 
--- a/core/command/gossip/gossip.go
+++ b/core/command/gossip/gossip.go
@@ -17,6 +17,7 @@
 
 	"comfreytack/core/command/config"
 	"comfreytack/core/command/leave"
+	"comfreytack/core/command/poison"
 	"comfreytack/core/command/reader"
 	"comfreytack/core/model"
 )
@@ -67,20 +68,6 @@
 	Nonce uint64 `json:"nonce,omitempty"`
 }
 
-// Suspect is a request that was in flight when an upstream died.
-type Suspect struct {
-	Fingerprint model.Fingerprint  `json:"fingerprint"`
-	Upstream    model.UpstreamName `json:"upstream"`
-	Incarnation model.Incarnation  `json:"incarnation"`
-	AgeMs       int64              `json:"age_ms"`
-}
-
-// Quarantine is a request that no upstream runs for a while.
-type Quarantine struct {
-	Fingerprint model.Fingerprint `json:"fingerprint"`
-	LeftMs      int64             `json:"left_ms"`
-}
-
 // Message is all that one daemon sends to another. It expects no reply; answers are messages too.
 type Message struct {
 	// From is the sender.
@@ -98,9 +85,8 @@
 	Reads []reader.Read `json:"reads,omitempty"`
 	// Leaves is news of upstreams that leave.
 	Leaves []leave.Notice `json:"leaves,omitempty"`
-	// Suspects and Quarantines is news of requests that crash upstreams.
-	Suspects    []Suspect    `json:"suspects,omitempty"`
-	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// Crashes is evidence of requests that crash upstreams.
+	Crashes []poison.Evidence `json:"crashes,omitempty"`
 }
 
 // State is when this daemon next speaks and what it waits for.
--- a/core/command/leave/leave.go
+++ b/core/command/leave/leave.go
@@ -8,6 +8,7 @@
 //	the same                         s-1 heard in life 8              ->  live
 //	the same                         list: incarnation 2              ->  live
 //	the same                         mark "joining" at revision 15    ->  live
+//	the same, but it is stopping     mark "joining" at revision 15    ->  leaving
 package leave
 
 import (
@@ -34,6 +35,9 @@
 	Incarnation model.Incarnation  `json:"incarnation"`
 	// Leaving is false only in notices that replace the leaving of an earlier life.
 	Leaving bool `json:"leaving"`
+	// Stopping says that the daemon itself ends, so that no mark can take the leaving back. The author
+	// may not know of a mark that was published before it was told to stop.
+	Stopping bool `json:"stopping,omitempty"`
 	// Listed is the upstream's incarnation in the instance list as the author knew it; zero when unknown.
 	Listed model.Incarnation `json:"listed,omitempty"`
 	// Mark is the revision of the newest operator's mark that the author knew. Only a mark behind it
@@ -131,6 +135,7 @@
 	return cmp.Or(
 		cmp.Compare(a.Incarnation, b.Incarnation),
 		cmp.Compare(truth(a.Leaving), truth(b.Leaving)),
+		cmp.Compare(truth(a.Stopping), truth(b.Stopping)),
 		cmp.Compare(a.Listed, b.Listed),
 		cmp.Compare(a.Mark, b.Mark),
 	)
@@ -163,7 +168,7 @@
 	if marked && e.Mark.State == model.Leave {
 		return true
 	}
-	takenBack := marked && e.MarkAt > e.Notice.Mark
+	takenBack := marked && !e.Notice.Stopping && e.MarkAt > e.Notice.Mark
 	replaced := e.Notice.Listed > 0 && e.Listed.Incarnation > e.Notice.Listed
 	return e.Notice.Leaving && !takenBack && !replaced
 }
--- a/core/command/reader/reader.go
+++ b/core/command/reader/reader.go
@@ -3,7 +3,8 @@
 // There is no election. A daemon that hears, through gossip, of enough live readers with a better rank
 // in its failure domain stays silent. A hard budget stands below that rule: a daemon never starts two
 // reads within Gap, so a fleet of N daemons starts at most N/Gap reads a second whatever each of them
-// believes (22,000 daemons: 1,834 a second).
+// believes (22,000 daemons: 1,834 a second). Only a daemon that keeps the whole instance list, and so
+// knows N, reads more often when it hears of few other readers, within the same bound.
 //
 //	three live readers of better rank      ->  silent
 //	two, and own last read is Gap old      ->  read
@@ -26,6 +27,12 @@
 const (
 	// Gap is the shortest time between the starts of two reads of one daemon.
 	Gap = 12 * time.Second
+	// MinGap is the shortest gap of a daemon that knows the fleet to be small.
+	MinGap = time.Second
+	// MaxFleet is the number of daemons that Gap is right for.
+	MaxFleet = 22_000
+	// readEvery is the time between two reads of the whole fleet that readers aim at.
+	readEvery = 500 * time.Millisecond
 	// Wait is how long a read waits for a change; a waiting read counts as one.
 	Wait = 10 * time.Second
 	// PerDomain is how many readers a failure domain aims at.
@@ -37,8 +44,9 @@
 
 	// lostRead is how long after its start a read whose end was never told counts as over.
 	lostRead = 2 * Gap
-	// jitter spreads the reads of one daemon, so that readers do not fall into step.
-	jitter = time.Second
+	// jitterShare spreads the reads of one daemon by this part of its gap, so that readers do not fall
+	// into step.
+	jitterShare = 10
 	// maxBackoff bounds the gap between reads that fail.
 	maxBackoff = 30 * time.Second
 	// stepInSpread is the longest wait before a daemon steps in for a lost reader.
@@ -69,6 +77,8 @@
 type State struct {
 	// Self is this daemon.
 	Self model.Peer
+	// Fleet is the number of daemons if the whole instance list is known, else zero.
+	Fleet int
 	// Seen has the newest read of each known reader, without this daemon; at most maxSeen.
 	Seen map[model.UpstreamName]Sighting
 	// HeardAt is when the last news of any reader came, or this daemon read; it starts at the start.
@@ -104,7 +114,7 @@
 	if s.DueAt.IsZero() {
 		s.DueAt = s.stepIn(now, random)
 	}
-	if now.Before(s.DueAt) || (!s.StartedAt.IsZero() && now.Sub(s.StartedAt) < Gap) {
+	if now.Before(s.DueAt) || (!s.StartedAt.IsZero() && now.Sub(s.StartedAt) < s.gap(now)) {
 		return false
 	}
 	s.StartedAt = now
@@ -116,16 +126,16 @@
 // Ended takes the end of a read. Reads that failed or came from a stale replica have not succeeded.
 func (s *State) Ended(now time.Time, succeeded bool, random *rand.Rand) {
 	s.InFlight = false
-	gap := Gap
+	gap := s.gap(now)
 	if succeeded {
 		s.Sequence++
 		s.Failures = 0
 		s.HeardAt = now
 	} else {
 		s.Failures++
-		gap = min(Gap*time.Duration(s.Failures), maxBackoff)
+		gap = min(max(gap*time.Duration(s.Failures), gap), maxBackoff)
 	}
-	s.DueAt = s.StartedAt.Add(gap + randomUpTo(jitter, random))
+	s.DueAt = s.StartedAt.Add(gap + randomUpTo(gap/jitterShare, random))
 }
 
 // Heard merges news from another daemon.
@@ -169,6 +179,21 @@
 	return reads
 }
 
+// gap returns the shortest time between the starts of two reads now.
+func (s *State) gap(now time.Time) time.Duration {
+	if s.Fleet == 0 {
+		return Gap
+	}
+	readers := 1
+	for _, sighting := range s.Seen {
+		if now.Sub(sighting.At) < Silence {
+			readers++
+		}
+	}
+	floor := max(MinGap, Gap*time.Duration(s.Fleet)/MaxFleet)
+	return max(floor, min(Gap, readEvery*time.Duration(readers)))
+}
+
 // live returns the live readers, this daemon included, by rising rank.
 func (s *State) live(now time.Time) []Sighting {
 	sightings := make([]Sighting, 0, len(s.Seen)+1)
