--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -15,19 +15,21 @@
 	"comfreytack/cftd/oper"
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/admit"
+	"comfreytack/core/command/budget"
 	"comfreytack/core/command/daemon"
 	"comfreytack/core/command/load"
+	"comfreytack/core/command/poison"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/query/route"
 	"comfreytack/core/setup"
+	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/traffic/send"
 )
 
 const (
 	beatInterval        = 50 * time.Millisecond
-	pauseLimit          = time.Second
 	eventBacklog        = 4096
 	upstreamConnections = 200
 	gateConnections     = 64
@@ -87,10 +89,15 @@
 		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Meter:     p.meter,
+		Flight: flight.New(flight.Settings{
+			Self: p.self,
+			Book: poison.New(poison.DefaultSettings()),
+			Now:  time.Now,
+			Down: func() bool { return relay.Refuses(p.settings.Upstream) },
+		}),
 	}, hold.New(hold.Settings{
-		Snapshot:   p.control.Snapshot,
-		Now:        time.Now,
-		PauseLimit: pauseLimit,
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
 	}, admit.New(firstSlots, discipline)))
 	sending, err := buildSend(p)
 	if err != nil {
@@ -123,7 +130,12 @@
 }
 
 func sendBy[P route.Policy](p plan, policy P) entry.Send {
-	sender := send.New(p.control.Snapshot, time.Now, route.New(policy), load.New(p.self, load.DefaultSettings()))
+	sender := send.New(send.Settings{
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
+		Book:     load.New(p.self, load.DefaultSettings()),
+		Retries:  budget.New(budget.DefaultSettings()),
+	}, route.New(policy))
 	return func(ctx context.Context, call model.Call, carrier send.Carrier[*http.Response]) (*http.Response, *model.Failure) {
 		return send.Send(ctx, sender, call, carrier)
 	}
--- a/core/safety/world_test.go
+++ b/core/safety/world_test.go
@@ -140,7 +140,7 @@
 	}
 	settings := ledger.Settings{Keys: rememberKeys, AnswerBytes: 100, AnswerLifetime: hour}
 	h.gate = admit.New(slots, admit.NewFIFO())
-	h.gate.SetLimits(slots, map[model.Customer]model.Limits{customer: {Queue: queueLength, Weight: 1, LongSlots: 1}})
+	h.gate.SetLimits(w.now, slots, map[model.Customer]model.Limits{customer: {Queue: queueLength, Weight: 1, LongSlots: 1}})
 	if w.fault == homeByView {
 		settings.Keys = remakeEnough
 	}
@@ -261,7 +261,7 @@
 // arrive is a keyed call at its home.
 func (w *world) arrive(m message) {
 	h := w.homes[m.home]
-	call := w.call(h, m)
+	call := w.call(m)
 	decision := h.ledger.Begin(w.now, call)
 	switch decision.Action {
 	case ledger.Run:
@@ -274,7 +274,7 @@
 	}
 }
 
-func (w *world) call(h *home, m message) model.Call {
+func (w *world) call(m message) model.Call {
 	key := w.callers[m.request].key.MustGet()
 	if w.fault == homeByView {
 		key.Home = homeName(m.home)
