Start only when every known peer was heard of

A starting daemon took the first ready peer's word, which may have just woken from a pause with an old revision. It now waits until each known peer has answered, refused contact or been silent for 5 s, and daemons that suspect themselves no longer call themselves ready. Drain signals count once the daemon knows the operators' marks.

--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -105,10 +105,7 @@
 	case CallFailed:
 		s.callFailed(now, e.Upstream)
 	case UpstreamProbed:
-		if e.Draining && !s.Draining {
-			s.leaveSelf()
-		}
-		s.Draining = e.Draining
+		s.probed(e.Draining)
 	case StopAsked:
 		s.Stopping = true
 		s.leaveSelf()
@@ -188,6 +185,18 @@
 	}
 }
 
+// probed takes the answer of the upstream. Until the daemon knows the operators' marks it could not tell
+// whether one of them has already taken this leaving back; it serves nothing until then.
+func (s *State) probed(draining bool) {
+	if !s.Start.Ready {
+		return
+	}
+	if draining && !s.Draining {
+		s.leaveSelf()
+	}
+	s.Draining = draining
+}
+
 // leaveSelf says that the upstream beside this daemon takes no new work.
 func (s *State) leaveSelf() {
 	s.giveNotice(leave.Notice{
--- a/core/command/daemon/faults_test.go
+++ b/core/command/daemon/faults_test.go
@@ -40,6 +40,8 @@
 	markAt model.Revision
 	life   int
 	listed model.Incarnation
+	// author is the life that the newest notice is of.
+	author model.Incarnation
 }
 
 func (f *faults) pick(t *rapid.T) *node {
@@ -144,7 +146,7 @@
 	for _, other := range f.nodes {
 		name := other.self.Name
 		mark := n.state.Config.Marks.Entries[name]
-		now := seenLeaving{markAt: mark.Revision, life: n.life, listed: f.listed(n, name)}
+		now := seenLeaving{markAt: mark.Revision, life: n.life, listed: f.listed(n, name), author: n.state.Leaves.Notices[name].Incarnation}
 		if leaving.Contains(name) {
 			if _, already := seen[name]; !already {
 				seen[name] = now
@@ -156,8 +158,7 @@
 		if !already || before.life != n.life {
 			continue
 		}
-		newLife := n.state.Leaves.Notices[name].Incarnation > 0 && !n.state.Leaves.Notices[name].Leaving
-		if now.markAt == before.markAt && now.listed == before.listed && !newLife {
+		if now.markAt == before.markAt && now.listed == before.listed && now.author == before.author {
 			t.Fatalf("%s took the leaving of %s back without a newer mark or life", n.self.Name, name)
 		}
 	}
--- a/core/command/daemon/start.go
+++ b/core/command/daemon/start.go
@@ -21,18 +21,19 @@
 	longestStartWait = 5 * time.Second
 	// askEvery is the time between two rounds of asking, each of askPeersAtOnce peers.
 	askEvery       = 250 * time.Millisecond
-	askPeersAtOnce = 4
+	askPeersAtOnce = 8
 	// firstReadJitter spreads the first reads of daemons of the same rank.
 	firstReadJitter = 500 * time.Millisecond
 )
 
-// Start is how far a daemon is with learning its first configuration. It becomes ready when a ready
-// peer has given it all that this peer has. Without one, the platform must have been read, startWait
-// must have passed, and every known peer must have said that it is not ready or have refused contact,
-// or have been silent for longestStartWait.
+// Start is how far a daemon is with learning its first configuration. It becomes ready when
 //
-// It is not ready below a revision that a ready peer has told it of: a platform that is behind the
-// fleet cannot bring an old configuration back through a restarted daemon.
+//   - a ready peer has given it all that this peer has, or the platform was read and startWait has passed;
+//   - and every known peer has said something or refused contact, or longestStartWait has passed;
+//   - and it has in force what any ready peer told it of.
+//
+// So a platform that is behind the fleet, or a peer that is behind the others, cannot bring an old
+// configuration back through a restarted daemon, as long as one that knows better answers.
 type Start struct {
 	// At is when the daemon started.
 	At time.Time
@@ -72,8 +73,8 @@
 
 // heard takes the digest of a peer; answered says that it came with an answer that has been applied.
 func (s *Start) heard(from model.Address, digest gossip.Digest, answered bool) {
+	s.Silent.Remove(from)
 	if !digest.Ready {
-		s.Silent.Remove(from)
 		return
 	}
 	s.Highest = max(s.Highest, digest.Revision)
@@ -86,8 +87,9 @@
 		return
 	}
 	age := now.Sub(s.At)
-	alone := s.Silent.Cardinality() == 0 || age >= longestStartWait
-	s.Ready = s.PeerAnswered || (s.PlatformRead && age >= startWait && alone)
+	allHeard := s.Silent.Cardinality() == 0 || age >= longestStartWait
+	learnt := s.PeerAnswered || (s.PlatformRead && age >= startWait)
+	s.Ready = allHeard && learnt
 }
 
 // firstRead returns how long after its start a daemon first reads the platform. Daemons take turns by
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -119,7 +119,7 @@
 		Contracts: s.Config.Contracts.Hash,
 		Scope:     s.Config.Scope(),
 		Services:  s.Config.Services.Hash,
-		Ready:     s.Start.Ready,
+		Ready:     s.Start.Ready && !s.Pause.Suspect,
 	}
 }
 
--- a/core/command/gossip/gossip.go
+++ b/core/command/gossip/gossip.go
@@ -52,7 +52,7 @@
 	// latter can be compared where the former is the same.
 	Scope    uint64 `json:"scope"`
 	Services uint64 `json:"services"`
-	// Ready says that the daemon trusts what it has.
+	// Ready says that the daemon trusts what it has: it has started and not just woken from a pause.
 	Ready bool `json:"ready"`
 }
 
