--- a/cftd/entry/carry.go
+++ b/cftd/entry/carry.go
@@ -8,6 +8,7 @@
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/load"
 	"comfreytack/core/model"
+	"comfreytack/core/query/proof"
 	"comfreytack/core/wire"
 )
 
@@ -25,6 +26,8 @@
 	target *url.URL
 	host   string
 	body   *relay.Body
+	// failed is the verdict on the attempts that failed so far; NotRun before the first.
+	failed model.Verdict
 }
 
 // Again implements send.Carrier.
@@ -34,16 +37,13 @@
 
 // Attempt implements send.Carrier.
 func (c *carrier) Attempt(ctx context.Context, call model.Call, upstream model.Upstream, ended func(load.Result)) (*http.Response, *model.GateReport, *model.Failure) {
-	request := relay.Request{
-		Address: upstream.Gate,
-		Method:  call.Method,
-		Target:  c.target,
-		Host:    c.host,
-		Header:  c.header.Clone(),
-		Body:    c.body,
-	}
+	request := c.request(upstream.Gate)
 	answer, report, failure := c.one(ctx, call, upstream, request)
+	if failure == nil && call.Idempotent {
+		failure = relay.HoldAnswer(answer)
+	}
 	if failure != nil {
+		c.failed = proof.Then(c.failed, failure.Verdict)
 		ended(load.ResultOf(failure.Reason))
 		return nil, report, failure
 	}
@@ -51,6 +51,18 @@
 	return answer, report, nil
 }
 
+// request returns a new attempt; its header may be changed.
+func (c *carrier) request(address model.Address) relay.Request {
+	return relay.Request{
+		Address: address,
+		Method:  c.call.Method,
+		Target:  c.target,
+		Host:    c.host,
+		Header:  c.header.Clone(),
+		Body:    c.body,
+	}
+}
+
 // resultOf tells an upstream's own errors, which may come fast, from useful answers.
 func resultOf(answer *http.Response) load.Result {
 	if answer.StatusCode >= http.StatusInternalServerError {
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -15,9 +15,11 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	operatorsStop     = time.Second
+	// exchangeTimeout holds for exchanges that are not calls; a call has its deadline instead.
+	exchangeTimeout = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
+	maxHeaderBytes  = 64 << 10
+	operatorsStop   = time.Second
 	// peerListener is the place of the peer port among the listeners, behind those of HTTP servers.
 	peerListener = 3
 )
@@ -44,7 +46,7 @@
 	<-ctx.Done()
 	log.Info("stopping", "name", settings.Name)
 	parts.stop()
-	err = shutDown(servers, time.Duration(settings.StopMs)*time.Millisecond)
+	err = shutDown(servers, parts.finish, time.Duration(settings.StopMs)*time.Millisecond)
 	stopControl()
 	if waitErr := running.Wait(); err == nil {
 		err = waitErr
@@ -53,8 +55,9 @@
 	return err
 }
 
-// shutDown lets callers' and peers' calls finish first; the operators' port is the last to close.
-func shutDown(servers []*http.Server, longest time.Duration) error {
+// shutDown lets callers' and peers' calls finish first, then keyed calls whose callers have left; the
+// operators' port is the last to close.
+func shutDown(servers []*http.Server, finish func(context.Context), longest time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), longest)
 	defer cancel()
 	var closing errgroup.Group
@@ -62,6 +65,7 @@
 		closing.Go(func() error { return server.Shutdown(ctx) })
 	}
 	err := closing.Wait()
+	finish(ctx)
 	last, cancelLast := context.WithTimeout(context.Background(), operatorsStop)
 	defer cancelLast()
 	_ = servers[2].Shutdown(last)
@@ -84,6 +88,8 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       exchangeTimeout,
+		WriteTimeout:      exchangeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
