--- a/cftd/oper/oper.go
+++ b/cftd/oper/oper.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"comfreytack/cftd/meter"
@@ -25,10 +26,11 @@
 	Version string
 }
 
-// Handler serves /metrics, /status and /ready.
+// Handler serves /metrics, /status, /ready and the profiles below /debug.
 func Handler(settings Settings) http.Handler {
 	router := chi.NewRouter()
 	router.Handle("/metrics", promhttp.HandlerFor(settings.Meter.Registry, promhttp.HandlerOpts{}))
+	router.Mount("/debug", middleware.Profiler())
 	router.Get("/status", func(w http.ResponseWriter, _ *http.Request) {
 		view := status.Of(settings.Snapshot(), settings.Report(), settings.Version)
 		w.Header().Set("Content-Type", "application/json")
