Measure what the daemons add, and compare variants under the same load

cftlab added alternates direct calls, entry and gate in one process, and entry and gate apart. cftlab compare runs the experiments of cftlab/plans: each variant gets a fresh deployment and the same arrivals, in turn, and the table has the median and the range over the repeats. Re-sends follow a careful caller: the same key once a send may have run, otherwise a new one. Work is followed over all its sends and keys, so a hold that ran under two keys counts as run twice.

--- a/cftlab/loader/model.go
+++ b/cftlab/loader/model.go
@@ -45,7 +45,8 @@
 	Body string `json:"body,omitempty"`
 	// Keyed requests carry an idempotency key, where the daemons issue keys.
 	Keyed bool `json:"keyed"`
-	// Resend is how often a keyed request is sent again when its verdict is not ran.
+	// Resend is how often a keyed request is sent again when its verdict is not ran: with the same key when
+	// a send may have run, and with a new one otherwise.
 	Resend int `json:"resend"`
 	// Direct requests go to an upstream itself; their answers have no verdict.
 	Direct bool `json:"direct"`
@@ -61,9 +62,11 @@
 
 // Record is what became of one send.
 type Record struct {
-	// ID is unique for each send; Key is the same for all sends of a keyed request.
+	// ID is unique for each send. Key is kept by all sends that follow one that may have run.
 	ID  string `json:"id"`
 	Key string `json:"key,omitempty"`
+	// Work is the id of the first send of the same work; non-idempotent work must not run twice.
+	Work string `json:"work"`
 	// Customer, Class and Idempotent are those of the stream.
 	Customer   model.Customer `json:"customer"`
 	Class      model.Class    `json:"class"`
--- a/cftlab/loader/plan.go
+++ b/cftlab/loader/plan.go
@@ -17,15 +17,15 @@
 		return Plan{}, errors.Wrap(err, "read the plan")
 	}
 	for index := range plan.Streams {
-		if err := plan.Streams[index].complete(); err != nil {
+		if err := plan.Streams[index].Complete(); err != nil {
 			return Plan{}, errors.Wrapf(err, "stream %d of the plan", index)
 		}
 	}
 	return plan, nil
 }
 
-// complete fills in defaults.
-func (s *Stream) complete() error {
+// Complete fills in defaults and refuses impossible values.
+func (s *Stream) Complete() error {
 	if s.Method == "" {
 		s.Method = "GET"
 	}
--- a/cftlab/loader/send.go
+++ b/cftlab/loader/send.go
@@ -60,10 +60,14 @@
 
 // request is one send on its way.
 type request struct {
-	id     string
-	key    string
-	body   string
+	id   string
+	work string
+	key  string
+	body string
+	// resent counts the earlier sends of the same work.
 	resent int
+	// doubtful says that one of them may have run, so that the key must stay.
+	doubtful bool
 }
 
 // sender sends one stream.
@@ -156,20 +160,20 @@
 	defer s.mutex.Unlock()
 	s.count++
 	id := fmt.Sprintf("%s-%d", s.prefix, s.count)
-	next := request{id: id, key: s.takeKey(), body: strings.ReplaceAll(s.stream.Body, "{id}", id)}
+	next := request{work: id, body: strings.ReplaceAll(s.stream.Body, "{id}", id)}
 	if len(s.again) > 0 {
 		next = s.again[0]
-		next.id = id
 		s.again = s.again[1:]
 	}
+	next.id = id
+	if !next.doubtful {
+		next.key = s.takeKey()
+	}
 	s.flying[id] = next
 	return turn{request: next, turn: s.count, workUs: s.workUs()}
 }
 
 func (s *sender) takeKey() string {
-	if len(s.again) > 0 {
-		return ""
-	}
 	select {
 	case key := <-s.keys:
 		return key
@@ -196,6 +200,7 @@
 	record := judge(Record{
 		ID:         sent.id,
 		Key:        sent.key,
+		Work:       sent.work,
 		Customer:   s.stream.Customer,
 		Class:      s.stream.Class,
 		Idempotent: s.stream.Idempotent,
@@ -204,13 +209,22 @@
 		Latency:    late + result.Latency,
 		Deadline:   time.Duration(s.stream.DeadlineMs) * time.Millisecond,
 	}, sent, s.stream.Direct, result)
-	if record.Verdict != model.Ran && sent.key != "" && sent.resent < s.stream.Resend {
+	if s.due(sent, record.Verdict) {
 		sent.resent++
+		sent.doubtful = sent.doubtful || record.Verdict == model.MayHaveRun
 		s.again = append(s.again, sent)
 	}
 	return record
 }
 
+// due says whether work is to be sent again. Without a key, work that may have run must not be.
+func (s *sender) due(sent request, verdict model.Verdict) bool {
+	if verdict == model.Ran || sent.resent >= s.stream.Resend {
+		return false
+	}
+	return verdict == model.NotRun || sent.key != ""
+}
+
 func identity(address string) string {
 	parsed, err := url.Parse(address)
 	if err != nil {
--- /dev/null
+++ b/cftlab/suite/run.go
@@ -0,0 +1,173 @@
+package suite
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreytack/cftlab/deploy"
+	"comfreytack/cftlab/fleet"
+	"comfreytack/cftlab/loader"
+	"comfreytack/cftlab/tally"
+)
+
+// Settings says how to run an experiment.
+type Settings struct {
+	// Bin is the folder of the programs.
+	Bin string
+	// Repeats is how often each variant runs.
+	Repeats int
+	// Seed is that of the first repeat; each repeat has the same arrivals for all variants.
+	Seed uint64
+	// Progress is told about each run that ends.
+	Progress func(text string)
+}
+
+// Result is one run of one variant.
+type Result struct {
+	// Variant is the name of the variant.
+	Variant string
+	// Rows are its customers and classes.
+	Rows []tally.Row
+	// Totals compare the whole run with the run logs.
+	Totals tally.Totals
+}
+
+// Run runs all variants in turn, as often as there are repeats.
+func Run(ctx context.Context, settings Settings, experiment Experiment) ([]Result, error) {
+	results := []Result{}
+	for repeat := range settings.Repeats {
+		for _, variant := range experiment.Variants {
+			result, err := runVariant(ctx, settings, experiment, variant, settings.Seed+uint64(repeat))
+			if err != nil {
+				return results, errors.Wrap(err, variant.Name)
+			}
+			results = append(results, result)
+			settings.Progress(fmt.Sprintf("%s %d/%d: %s: %+v",
+				experiment.Name, repeat+1, settings.Repeats, variant.Name, result.Totals))
+		}
+	}
+	return results, nil
+}
+
+func runVariant(
+	ctx context.Context, settings Settings, experiment Experiment, variant Variant, seed uint64,
+) (Result, error) {
+	folder, err := os.MkdirTemp("", "cftlab-"+experiment.Name+"-")
+	if err != nil {
+		return Result{}, errors.WithStack(err)
+	}
+	defer os.RemoveAll(folder)
+	site := deploy.Simple(experiment.Services, experiment.Contracts).Place(fleet.NewPorts(os.Getpid()).Next)
+	running, err := fleet.Launch(ctx, fleet.Settings{
+		Bin: settings.Bin, Folder: folder, Site: site, Flags: variant.Flags,
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	records, err := send(ctx, experiment, variant, site, running, seed)
+	running.Stop()
+	if err != nil {
+		return Result{}, err
+	}
+	if ctx.Err() != nil {
+		return Result{}, errors.New("interrupted; all processes were stopped")
+	}
+	runs, err := running.Runs()
+	if err != nil {
+		return Result{}, err
+	}
+	return Result{
+		Variant: variant.Name,
+		Rows:    tally.Rows(experiment.counted(records)),
+		Totals:  tally.Count(records, runs),
+	}, nil
+}
+
+func send(
+	ctx context.Context, experiment Experiment, variant Variant, site deploy.Site, running *fleet.Fleet, seed uint64,
+) ([]loader.Record, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	places := site.Of(experiment.Services[0].Name)
+	failed := make(chan error, 1)
+	go func() { failed <- disturb(ctx, experiment.faults(variant), places, running) }()
+	records, err := loader.Run(ctx, loader.Settings{
+		Targets: deploy.Site{Places: places}.Callers(),
+		Span:    time.Duration(experiment.Ms) * time.Millisecond,
+		Seed:    seed,
+		Prefix:  fmt.Sprintf("%x", time.Now().UnixNano()),
+	}, experiment.plan(variant))
+	cancel()
+	if failure := <-failed; err == nil {
+		err = failure
+	}
+	return records, err
+}
+
+// disturb applies the faults at their times, until ctx ends.
+func disturb(ctx context.Context, faults []Fault, places []deploy.Place, running *fleet.Fleet) error {
+	began := time.Now()
+	for _, fault := range faults {
+		at := began.Add(time.Duration(fault.AtMs) * time.Millisecond)
+		select {
+		case <-time.After(time.Until(at)):
+		case <-ctx.Done():
+			return nil
+		}
+		if err := running.Switch(ctx, places[fault.Upstream], fault.Change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// faults returns the faults of a variant.
+func (e Experiment) faults(variant Variant) []Fault {
+	if variant.Healthy {
+		return nil
+	}
+	return e.Faults
+}
+
+// plan returns the load of a variant.
+func (e Experiment) plan(variant Variant) loader.Plan {
+	plan := loader.Plan{}
+	for _, stream := range e.Streams {
+		if variant.Without != stream.Class.String() {
+			plan.Streams = append(plan.Streams, stream)
+		}
+	}
+	if variant.Scale == 0 {
+		return plan
+	}
+	return plan.Scaled(variant.Scale)
+}
+
+// counted returns the records whose intended send time counts.
+func (e Experiment) counted(records []loader.Record) []loader.Record {
+	found := []loader.Record{}
+	for _, record := range records {
+		ms := int(record.Intended.Milliseconds())
+		if ms >= e.FromMs && ms < e.end() {
+			found = append(found, record)
+		}
+	}
+	return found
+}
+
+// end returns when counting ends, in milliseconds.
+func (e Experiment) end() int {
+	if e.ToMs > 0 {
+		return e.ToMs
+	}
+	return e.Ms
+}
+
+// Span returns how long requests count.
+func (e Experiment) Span() time.Duration {
+	return time.Duration(e.end()-e.FromMs) * time.Millisecond
+}
--- a/cftlab/tally/tally.go
+++ b/cftlab/tally/tally.go
@@ -32,6 +32,9 @@
 	P50  float64 `json:"p50_ms"`
 	P99  float64 `json:"p99_ms"`
 	P999 float64 `json:"p999_ms"`
+	// SendP50 and SendP99 are latencies of served requests from the real send time, in milliseconds.
+	SendP50 float64 `json:"send_p50_ms"`
+	SendP99 float64 `json:"send_p99_ms"`
 	// LateP99 is how late requests were really sent, in milliseconds: the error of the measurement.
 	LateP99 float64 `json:"late_p99_ms"`
 	// Reasons counts the reasons of sends that were not served.
@@ -65,18 +68,20 @@
 // Sum returns one row over all records, without a customer.
 func Sum(records []loader.Record) Row {
 	row := Row{Reasons: map[string]int{}}
-	latency, late := newHistogram(), newHistogram()
+	latency, fromSend, late := newHistogram(), newHistogram(), newHistogram()
 	for _, record := range records {
 		row.Sent++
 		observe(late, record.Late)
 		row.count(record)
 		if record.Served() {
 			observe(latency, record.Latency)
+			observe(fromSend, record.Latency-record.Late)
 		} else {
 			row.Reasons[record.Reason]++
 		}
 	}
 	row.P50, row.P99, row.P999 = quantile(latency, 50), quantile(latency, 99), quantile(latency, 99.9)
+	row.SendP50, row.SendP99 = quantile(fromSend, 50), quantile(fromSend, 99)
 	row.LateP99 = quantile(late, 99)
 	return row
 }
@@ -126,14 +131,14 @@
 	MayHaveRun int `json:"may_have_run"`
 	// WrongAnswer counts answers that belong to no or another request, and answers without a run.
 	WrongAnswer int `json:"wrong_answer"`
-	// RanTwice counts non-idempotent requests, by key where they have one, that ran more than once.
+	// RanTwice counts non-idempotent work that ran more than once, over all its sends and keys.
 	RanTwice int `json:"ran_twice"`
 	// FalseNotRun counts sends whose verdict was not_run and that ran.
 	FalseNotRun int `json:"false_not_run"`
 	// Stray counts runs whose id nobody sent.
 	Stray int `json:"stray"`
-	// KeyNotRun counts sends with the verdict not_run whose key ran in another send.
-	KeyNotRun int `json:"key_not_run"`
+	// LaterNotRun counts sends with the verdict not_run whose work ran in another send.
+	LaterNotRun int `json:"later_not_run"`
 }
 
 // Broken says whether a promise was broken.
@@ -148,7 +153,7 @@
 		byID[record.ID] = record
 	}
 	ranIDs := map[string]int{}
-	ranUnits := map[string]int{}
+	ranWorks := map[string]int{}
 	totals := Totals{}
 	for _, run := range runs {
 		record, known := byID[run.ID]
@@ -157,19 +162,19 @@
 			continue
 		}
 		ranIDs[run.ID]++
-		ranUnits[unit(record)]++
-		if !record.Idempotent && ranUnits[unit(record)] == 2 {
+		ranWorks[record.Work]++
+		if !record.Idempotent && ranWorks[record.Work] == 2 {
 			totals.RanTwice++
 		}
 	}
 	for _, record := range records {
-		totals.add(record, ranIDs[record.ID], ranUnits[unit(record)])
+		totals.add(record, ranIDs[record.ID], ranWorks[record.Work])
 	}
 	return totals
 }
 
-// add counts one send, given how often its id and its key ran.
-func (t *Totals) add(record loader.Record, ranID, ranUnit int) {
+// add counts one send, given how often its id and its work ran.
+func (t *Totals) add(record loader.Record, ranID, ranWork int) {
 	t.Sent++
 	switch record.Verdict {
 	case model.NotRun:
@@ -180,7 +185,7 @@
 	if record.Served() {
 		t.Served++
 	}
-	if record.Wrong || (record.Served() && ranUnit == 0) {
+	if record.Wrong || (record.Served() && ranWork == 0) {
 		t.WrongAnswer++
 	}
 	if record.Verdict != model.NotRun {
@@ -188,15 +193,7 @@
 	}
 	if ranID > 0 {
 		t.FalseNotRun++
-	} else if ranUnit > 0 {
-		t.KeyNotRun++
+	} else if ranWork > 0 {
+		t.LaterNotRun++
 	}
 }
-
-// unit is what must not run twice: the key of a record, or its id when it has none.
-func unit(record loader.Record) string {
-	if record.Key != "" {
-		return "key " + record.Key
-	}
-	return "id " + record.ID
-}
--- a/cftlab/tally/tally_test.go
+++ b/cftlab/tally/tally_test.go
@@ -18,7 +18,11 @@
 		if verdict == model.Ran {
 			status = 200
 		}
-		return loader.Record{ID: id, Key: key, Verdict: verdict, Status: status}
+		work := id
+		if key != "" {
+			work = key
+		}
+		return loader.Record{ID: id, Key: key, Work: work, Verdict: verdict, Status: status}
 	}
 	lookup := func(id string, verdict model.Verdict) loader.Record {
 		record := hold(id, "", verdict)
@@ -77,7 +81,7 @@
 			name:    "not_run of a key whose other send ran",
 			records: []loader.Record{hold("a", "k", model.MayHaveRun), hold("b", "k", model.NotRun)},
 			runs:    []string{"a"},
-			want:    tally.Totals{Sent: 2, NotRun: 1, MayHaveRun: 1, KeyNotRun: 1},
+			want:    tally.Totals{Sent: 2, NotRun: 1, MayHaveRun: 1, LaterNotRun: 1},
 		},
 		{
 			name:    "an answer of another request",
--- a/cftlab/verbs/demo.go
+++ b/cftlab/verbs/demo.go
@@ -173,8 +173,8 @@
 	if totals.Stray > 0 {
 		fmt.Fprintf(streams.Out, "runs that no caller sent: %d\n", totals.Stray)
 	}
-	if totals.KeyNotRun > 0 {
-		fmt.Fprintf(streams.Out, "answered not_run after another send of the key ran: %d\n", totals.KeyNotRun)
+	if totals.LaterNotRun > 0 {
+		fmt.Fprintf(streams.Out, "answered not_run while another send of the same work ran: %d\n", totals.LaterNotRun)
 	}
 	fmt.Fprintf(streams.Out,
 		"demo: sent=%d served=%d not_run=%d may_have_run=%d wrong_answer=%d ran_twice=%d false_not_run=%d\n",
--- a/cftlab/verbs/verbs.go
+++ b/cftlab/verbs/verbs.go
@@ -47,6 +47,8 @@
 		platformVerb,
 		demoVerb,
 		loadVerb,
+		addedVerb,
+		compareVerb,
 	}
 }
 
