--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -188,14 +188,14 @@
 	return decisions
 }
 
-// hopeless tells whether starting the ticket now would most likely waste a slot. Durations of long work
-// spread too widely to foretell.
+// hopeless tells whether starting the ticket now would risk a slot for an answer that comes too late.
+// Durations of long work spread too widely to foretell.
 func (g *Gate[D]) hopeless(now time.Time, ticket Ticket) bool {
 	left := ticket.Deadline.Sub(now)
 	if ticket.Class == model.Long {
 		return left <= 0
 	}
-	return left <= g.ShortService()
+	return left <= g.times[model.Short].cautious()
 }
 
 func (g *Gate[D]) may(ticket Ticket) bool {
