--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -9,9 +9,11 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"comfreytack/cftd/home"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/relay"
 	"comfreytack/core/model"
+	"comfreytack/core/query/proof"
 	"comfreytack/core/traffic/send"
 	"comfreytack/core/wire"
 )
@@ -33,6 +35,8 @@
 	Now func() time.Time
 	// Send tries a call on one upstream after another.
 	Send Send
+	// Home runs the calls whose keys this daemon issued.
+	Home *home.Home
 	// Meter records calls.
 	Meter *meter.Meter
 }
@@ -50,44 +54,63 @@
 // Handler serves the callers' port.
 func (e *Entry) Handler() http.Handler {
 	router := chi.NewRouter()
+	router.Post("/keys", e.keys)
 	router.HandleFunc("/*", e.serve)
 	return router
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
-	now := e.settings.Now()
-	call, failure := e.run(w, r, now)
-	if failure != nil && failure.Reason == model.Truncated {
-		e.settings.Meter.Call(call, e.settings.Now().Sub(now), failure)
-		panic(http.ErrAbortHandler)
+	began := e.settings.Now()
+	call, failure := readCall(r, e.settings.Snapshot(), began)
+	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+	defer cancel()
+	var answer *http.Response
+	verdict := model.Ran
+	if failure == nil {
+		relay.Limit(w, call.Deadline)
+		answer, verdict, failure = e.run(ctx, r, &call)
+	} else {
+		failure = vouch(call, failure)
 	}
+	w.Header().Set(wire.HeaderRequestID, call.ID)
 	if failure != nil {
-		w.Header().Set(wire.HeaderRequestID, call.ID)
 		relay.WriteFailure(w, failure)
+		e.settings.Meter.Call(call, e.settings.Now().Sub(began), failure)
+		return
+	}
+	w.Header().Set(wire.HeaderVerdict, verdict.String())
+	w.Header().Set(wire.HeaderReason, model.NoReason.String())
+	broken := relay.WriteAnswer(w, answer)
+	e.settings.Meter.Call(call, e.settings.Now().Sub(began), broken)
+	if broken != nil {
+		panic(http.ErrAbortHandler)
 	}
-	e.settings.Meter.Call(call, e.settings.Now().Sub(now), failure)
 }
 
-// run returns Truncated only after a part of the answer may have been sent.
-func (e *Entry) run(w http.ResponseWriter, r *http.Request, now time.Time) (model.Call, *model.Failure) {
+// run returns the answer and how often the request may have run for it.
+func (e *Entry) run(ctx context.Context, r *http.Request, call *model.Call) (*http.Response, model.Verdict, *model.Failure) {
 	body, err := relay.ReadBody(r)
 	if err != nil {
-		return model.Call{}, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err}
+		return nil, model.NotRun, vouch(*call, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err})
 	}
-	call, failure := readCall(r, e.settings.Snapshot(), body, now)
-	if failure != nil {
-		return call, failure
+	call.Fingerprint = body.Fingerprint(call.Customer, call.Method, call.Path+"?"+r.URL.RawQuery)
+	c := e.carrier(r, *call, body)
+	if call.Key.IsPresent() {
+		answer, failure := e.sendKeyed(ctx, *call, c)
+		return answer, model.Ran, failure
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
-	defer cancel()
-	answer, failure := e.settings.Send(ctx, call, e.carrier(r, call, body))
-	if failure != nil {
-		return call, failure
+	return e.attempts(ctx, *call, c)
+}
+
+// attempts tries the call on upstreams. The verdict covers all attempts, not only the last.
+func (e *Entry) attempts(ctx context.Context, call model.Call, c *carrier) (*http.Response, model.Verdict, *model.Failure) {
+	answer, failure := e.settings.Send(ctx, call, c)
+	if failure == nil {
+		return answer, proof.Then(c.failed, model.Ran), nil
 	}
-	w.Header().Set(wire.HeaderRequestID, call.ID)
-	w.Header().Set(wire.HeaderVerdict, model.Ran.String())
-	w.Header().Set(wire.HeaderReason, model.NoReason.String())
-	return call, relay.WriteAnswer(w, answer)
+	told := *failure
+	told.Verdict = c.failed
+	return nil, c.failed, &told
 }
 
 func (e *Entry) carrier(r *http.Request, call model.Call, body *relay.Body) *carrier {
@@ -95,5 +118,8 @@
 	relay.CopyHeader(header, r.Header)
 	wire.DropOwn(header)
 	target := &url.URL{Path: call.Path, RawQuery: r.URL.RawQuery}
+	if r.URL.RawPath != "" {
+		_, target.RawPath = splitPath(r.URL.RawPath)
+	}
 	return &carrier{entry: e, call: call, header: header, target: target, host: r.Host, body: body}
 }
--- a/cftd/relay/trip.go
+++ b/cftd/relay/trip.go
@@ -17,7 +17,6 @@
 
 const (
 	dialTimeout       = 250 * time.Millisecond
-	idleConnTimeout   = 60 * time.Second
 	continueTimeout   = time.Second
 	maxAnswerHeader   = 1 << 20
 	connWriteBuffer   = 16 << 10
@@ -32,13 +31,15 @@
 }
 
 // NewTransport returns a transport that holds at most the given number of connections to one address.
-func NewTransport(connections int) *http.Transport {
+// It closes a connection that was idle for the given time, which must be less than the receiver's own
+// limit: a request that meets the receiver's close on its way is in doubt.
+func NewTransport(connections int, idle time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext:            dialCounting(dialer),
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    min(connections, maxIdlePerAddress),
-		IdleConnTimeout:        idleConnTimeout,
+		IdleConnTimeout:        idle,
 		ExpectContinueTimeout:  continueTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeader,
@@ -71,10 +72,34 @@
 	})
 	outgoing := outgoingRequest(request).WithContext(ctx)
 	answer, err := transport.RoundTrip(outgoing)
-	if err == nil {
-		return answer, nil
+	if err != nil {
+		return nil, tripFailure(ctx, err, sent.wrote(), lost)
+	}
+	if !sent.wrote() {
+		// What came back answers an earlier request.
+		sent.abort()
+		_ = answer.Body.Close()
+		return nil, tripFailure(ctx, errStray, sent.wrote(), lost)
+	}
+	if err := checkFraming(request.Method, answer); err != nil {
+		sent.abort()
+		_ = answer.Body.Close()
+		return nil, &model.Failure{Verdict: model.MayHaveRun, Reason: model.Truncated, Cause: err}
+	}
+	return answer, nil
+}
+
+// checkFraming refuses answers whose end nobody could tell from a broken connection.
+func checkFraming(method string, answer *http.Response) error {
+	switch {
+	case answer.StatusCode < http.StatusOK:
+		return errors.Errorf("unexpected status %d", answer.StatusCode)
+	case method == http.MethodHead, answer.StatusCode == http.StatusNoContent, answer.StatusCode == http.StatusNotModified:
+		return nil
+	case answer.ContentLength < 0 && len(answer.TransferEncoding) == 0:
+		return errors.New("the answer has neither a length nor chunks")
 	}
-	return nil, tripFailure(ctx, err, sent.wrote(), lost)
+	return nil
 }
 
 func outgoingRequest(request Request) *http.Request {
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -11,12 +12,15 @@
 
 	"comfreytack/cftd/entry"
 	"comfreytack/cftd/gate"
+	"comfreytack/cftd/home"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/oper"
 	"comfreytack/cftd/relay"
 	"comfreytack/core/command/admit"
 	"comfreytack/core/command/budget"
+	"comfreytack/core/command/class"
 	"comfreytack/core/command/daemon"
+	"comfreytack/core/command/ledger"
 	"comfreytack/core/command/load"
 	"comfreytack/core/command/poison"
 	"comfreytack/core/loop"
@@ -34,6 +38,15 @@
 	upstreamConnections = 200
 	gateConnections     = 64
 	firstSlots          = 10
+	// upstreamIdle is below the idle limits that servers usually have, of 5 s and more.
+	upstreamIdle = 4 * time.Second
+	// gateIdle is below idleTimeout, the limit of the gates' own servers.
+	gateIdle      = time.Minute
+	learntClasses = 1024
+	// What a home remembers for each customer.
+	keysPerCustomer        = 1024
+	answerBytesPerCustomer = 128 << 10
+	answerLifetime         = 10 * time.Minute
 )
 
 // parts are the running pieces of a daemon.
@@ -43,6 +56,8 @@
 	operators http.Handler
 	control   func(context.Context, net.Listener) error
 	stop      func()
+	// finish waits for work that no connection waits for.
+	finish func(context.Context)
 }
 
 // plan is what every part is built from.
@@ -85,10 +100,11 @@
 func buildGate[D admit.Discipline](p plan, discipline D) (*parts, error) {
 	local := gate.New(gate.Settings{
 		Upstream:  p.settings.Upstream,
-		Transport: relay.NewTransport(upstreamConnections),
+		Transport: relay.NewTransport(upstreamConnections, upstreamIdle),
 		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Meter:     p.meter,
+		Classes:   class.New(learntClasses),
 		Flight: flight.New(flight.Settings{
 			Self: p.self,
 			Book: poison.New(poison.DefaultSettings()),
@@ -103,10 +119,19 @@
 	if err != nil {
 		return nil, err
 	}
+	keeper := home.New(home.Settings{
+		Self:     p.self,
+		Life:     model.Incarnation(rand.Uint64()),
+		Ledger:   ledger.Settings{Keys: keysPerCustomer, AnswerBytes: answerBytesPerCustomer, AnswerLifetime: answerLifetime},
+		Snapshot: p.control.Snapshot,
+		Now:      time.Now,
+		Meter:    p.meter,
+	})
 	front := entry.New(entry.Settings{
+		Home:      keeper,
 		Self:      p.self,
 		Local:     local,
-		Transport: relay.NewTransport(gateConnections),
+		Transport: relay.NewTransport(gateConnections, gateIdle),
 		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Send:      sending,
@@ -114,10 +139,11 @@
 	})
 	return &parts{
 		callers:   front.Handler(),
-		gate:      gate.Handler(local),
+		gate:      front.GateHandler(gate.Handler(local)),
 		operators: oper.Handler(oper.Settings{Snapshot: p.control.Snapshot, Report: local.Report, Meter: p.meter, Version: Version}),
 		control:   p.plane.run,
 		stop:      func() { p.control.Post(daemon.StopAsked{}) },
+		finish:    keeper.Wait,
 	}, nil
 }
 
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -24,8 +24,7 @@
 
 // fleet is a few daemons in this process, with stand-ins for platform and upstreams.
 type fleet struct {
-	daemons  []setup.Settings
-	upstream *httptest.Server
+	daemons []setup.Settings
 }
 
 func TestPathOfACall(t *testing.T) {
@@ -72,9 +71,15 @@
 // startFleet starts daemons of one service that share one upstream stand-in, and waits until all are ready.
 func startFleet(t *testing.T, size int) *fleet {
 	t.Helper()
-	f := &fleet{upstream: httptest.NewServer(http.HandlerFunc(echo))}
-	t.Cleanup(f.upstream.Close)
-	service := model.Service{Name: "reservas", Slots: 10, Connections: 250}
+	upstream := httptest.NewServer(http.HandlerFunc(echo))
+	t.Cleanup(upstream.Close)
+	return startFleetOf(t, size, model.Address(strings.TrimPrefix(upstream.URL, "http://")))
+}
+
+func startFleetOf(t *testing.T, size int, upstream model.Address) *fleet {
+	t.Helper()
+	f := &fleet{}
+	service := model.Service{Name: "reservas", Slots: 10, Connections: 250, ShedStatus: http.StatusServiceUnavailable}
 	for i := range size {
 		settings := setup.Settings{
 			Name:          model.UpstreamName(fmt.Sprintf("reservas-%d", i+1)),
@@ -84,7 +89,7 @@
 			Gate:          freeAddress(t),
 			Peer:          freeAddress(t),
 			Operators:     freeAddress(t),
-			Upstream:      model.Address(strings.TrimPrefix(f.upstream.URL, "http://")),
+			Upstream:      upstream,
 			StopMs:        1000,
 		}
 		f.daemons = append(f.daemons, settings)
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,9 +16,13 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	operatorsStop     = time.Second
+	// exchangeTimeout holds for exchanges that are not calls; a call has its deadline instead.
+	exchangeTimeout = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
+	maxHeaderBytes  = 64 << 10
+	operatorsStop   = time.Second
+	// stopLinger is how long a stopping daemon still refuses work politely, so that the others hear of it.
+	stopLinger = 2 * time.Second
 	// peerListener is the place of the peer port among the listeners, behind those of HTTP servers.
 	peerListener = 3
 )
@@ -36,7 +41,12 @@
 	defer stopControl()
 	var running errgroup.Group
 	running.Go(func() error { return parts.control(control, listeners[peerListener]) })
-	servers := []*http.Server{newServer(parts.callers), newServer(parts.gate), newServer(parts.operators)}
+	var stopping atomic.Bool
+	servers := []*http.Server{
+		newServer(closeWhen(&stopping, parts.callers)),
+		newServer(closeWhen(&stopping, parts.gate)),
+		newServer(parts.operators),
+	}
 	for i, server := range servers {
 		running.Go(func() error { return ignoreClosed(server.Serve(listeners[i])) })
 	}
@@ -44,7 +54,11 @@
 	<-ctx.Done()
 	log.Info("stopping", "name", settings.Name)
 	parts.stop()
-	err = shutDown(servers, time.Duration(settings.StopMs)*time.Millisecond)
+	stopping.Store(true)
+	longest := time.Duration(settings.StopMs) * time.Millisecond
+	linger := min(stopLinger, longest/2)
+	time.Sleep(linger)
+	err = shutDown(servers, parts.finish, longest-linger)
 	stopControl()
 	if waitErr := running.Wait(); err == nil {
 		err = waitErr
@@ -53,8 +67,20 @@
 	return err
 }
 
-// shutDown lets callers' and peers' calls finish first; the operators' port is the last to close.
-func shutDown(servers []*http.Server, longest time.Duration) error {
+// closeWhen asks clients to close their connections once the daemon stops, so that none of them is
+// cut off later with a request on its way.
+func closeWhen(stopping *atomic.Bool, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// shutDown lets callers' and peers' calls finish first, then keyed calls whose callers have left; the
+// operators' port is the last to close.
+func shutDown(servers []*http.Server, finish func(context.Context), longest time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), longest)
 	defer cancel()
 	var closing errgroup.Group
@@ -62,6 +88,7 @@
 		closing.Go(func() error { return server.Shutdown(ctx) })
 	}
 	err := closing.Wait()
+	finish(ctx)
 	last, cancelLast := context.WithTimeout(context.Background(), operatorsStop)
 	defer cancelLast()
 	_ = servers[2].Shutdown(last)
@@ -84,6 +111,8 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       exchangeTimeout,
+		WriteTimeout:      exchangeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
