--- a/core/command/load/life.go
+++ b/core/command/load/life.go
@@ -30,6 +30,8 @@
 	Result Result
 	// Latency is the time from Began to the end.
 	Latency time.Duration
+	// Class is the class of the work; the time of long work says nothing of the upstream's load.
+	Class model.Class
 }
 
 // ResultOf returns what a reason says of the upstream. An answer with NoReason may still be the
@@ -50,7 +52,7 @@
 
 const (
 	// latencyWeight is the weight of one answered call in the mean latency.
-	latencyWeight = 0.1
+	latencyWeight = 0.05
 	// failingWeight is the weight of one call in the share of failures.
 	failingWeight = 0.1
 	// failingHalfLife is the time in which the share of failures halves without calls.
@@ -100,19 +102,19 @@
 	l.inFlight--
 	switch outcome.Result {
 	case Answered:
-		l.answered(now, outcome.Latency, settings)
+		l.answered(now, outcome, settings)
 	case Failed:
 		l.failed(now, settings)
-	case Refused, Unrelated:
+	case Unrelated:
+		l.abandoned(now, outcome)
+	case Refused:
 	}
 }
 
-func (l *life) answered(now time.Time, latency time.Duration, settings *Settings) {
-	if l.latencyAt.IsZero() {
-		l.latency = latency
+func (l *life) answered(now time.Time, outcome Outcome, settings *Settings) {
+	if outcome.Class == model.Short {
+		l.took(now, outcome.Latency)
 	}
-	l.latency += time.Duration(latencyWeight * float64(latency-l.latency))
-	l.latencyAt = now
 	l.failing = (1 - failingWeight) * l.failingNow(now)
 	l.failingAt = now
 	l.failuresInRow = 0
@@ -121,6 +123,21 @@
 	}
 }
 
+// abandoned takes the time of a call that was given up for the least that an answer would have taken.
+func (l *life) abandoned(now time.Time, outcome Outcome) {
+	if outcome.Class == model.Short && outcome.Latency > l.latency {
+		l.took(now, outcome.Latency)
+	}
+}
+
+func (l *life) took(now time.Time, latency time.Duration) {
+	if l.latencyAt.IsZero() {
+		l.latency = latency
+	}
+	l.latency += time.Duration(latencyWeight * float64(latency-l.latency))
+	l.latencyAt = now
+}
+
 func (l *life) failed(now time.Time, settings *Settings) {
 	failing := l.failingNow(now)
 	l.failing = failing + failingWeight*(1-failing)
--- a/core/command/load/load_test.go
+++ b/core/command/load/load_test.go
@@ -126,6 +126,14 @@
 				c.Assert(got.Latency, qt.Equals, time.Duration(0))
 			},
 		},
+		{
+			name: "long work tells nothing of the latency",
+			act: func(b *load.Book) {
+				repeat(b, 1, answer)
+				repeat(b, 9, load.Outcome{Result: load.Answered, Latency: time.Minute, Class: model.Long})
+			},
+			check: func(c *qt.C, got route.Candidate) { c.Assert(got.Latency, qt.Equals, answer.Latency) },
+		},
 		{
 			name: "a later incarnation starts anew and ignores the earlier one",
 			act: func(b *load.Book) {
--- a/core/query/route/names.go
+++ b/core/query/route/names.go
@@ -11,7 +11,9 @@
 
 const (
 	reportLifetime  = 500 * time.Millisecond
+	serviceLifetime = 2 * time.Second
 	latencyLifetime = 2 * time.Second
+	othersWeight    = 0.3
 	roundTrip       = 3 * time.Millisecond
 	serviceTime     = 10 * time.Millisecond
 	defaultSlots    = 10
@@ -43,7 +45,9 @@
 	return Weighted{
 		Choices:         fewChoices,
 		ReportLifetime:  reportLifetime,
+		ServiceLifetime: serviceLifetime,
 		LatencyLifetime: latencyLifetime,
+		OthersWeight:    othersWeight,
 		RoundTrip:       roundTrip,
 		ServiceTime:     serviceTime,
 		Slots:           defaultSlots,
--- a/core/query/route/weighted.go
+++ b/core/query/route/weighted.go
@@ -14,8 +14,14 @@
 	Choices int
 	// ReportLifetime is the age at which a gate's report counts for nothing.
 	ReportLifetime time.Duration
+	// ServiceLifetime is the age at which a gate's reported service time counts for nothing; it changes
+	// more slowly than the gate's load.
+	ServiceLifetime time.Duration
 	// LatencyLifetime is the age at which the latency of own calls counts for nothing.
 	LatencyLifetime time.Duration
+	// OthersWeight is what a reported request of another daemon counts beside an own one, from 0 to 1.
+	// Below 1 because many daemons read the same report and would all move to the same upstream.
+	OthersWeight float64
 	// RoundTrip is what a call to another failure domain adds.
 	RoundTrip time.Duration
 	// ServiceTime is assumed of an upstream of which nothing is known; positive.
@@ -50,8 +56,8 @@
 		slots = float64(c.Report.Slots)
 	}
 	others := max(0, c.Report.InFlight+c.Report.Queued-c.InFlightAtReport)
-	load := float64(c.InFlight) + trust*float64(others)
-	expected := p.serviceTime(now, c, trust) * (1 + load/slots)
+	load := float64(c.InFlight) + p.OthersWeight*trust*float64(others)
+	expected := p.serviceTime(now, c) * (1 + load/slots)
 	if !c.Near {
 		expected += float64(p.RoundTrip)
 	}
@@ -60,10 +66,11 @@
 }
 
 // serviceTime blends the assumed, the reported and the observed time, each over the one before it.
-func (p Weighted) serviceTime(now time.Time, c *Candidate, trust float64) float64 {
+func (p Weighted) serviceTime(now time.Time, c *Candidate) float64 {
 	estimate := float64(p.ServiceTime)
 	if c.Report.ServiceUs > 0 {
 		reported := float64(c.Report.ServiceUs) * float64(time.Microsecond)
+		trust := trustAt(now, c.ReportAt, p.ServiceLifetime)
 		estimate += trust * (reported - estimate)
 	}
 	if c.Latency > 0 {
