--- a/core/command/daemon/start.go
+++ b/core/command/daemon/start.go
@@ -110,7 +110,8 @@
 	return startWait + turn + time.Duration(random.Int64N(int64(firstReadJitter)))
 }
 
-// askPeers asks some peers for all that they have while the daemon is not ready or suspects itself.
+// askPeers asks some peers what they have while the daemon is not ready or suspects itself. Their values
+// are then asked of one of them at a time.
 func (s *State) askPeers(now time.Time) []Effect {
 	if (s.Start.Ready && !s.Pause.Suspect) || now.Before(s.Start.AskAt) {
 		return nil
@@ -120,6 +121,7 @@
 	for _, address := range s.peersToAsk() {
 		message := s.message(now, address)
 		message.Want = s.want()
+		message.Want.DigestOnly = true
 		effects = append(effects, SendPeer{To: address, Message: message})
 	}
 	return effects
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -22,7 +22,8 @@
 		s.Gossip.News = true
 		s.rebuild()
 	}
-	answered := s.takeAnswer(message)
+	s.takeValues(message)
+	answered := message.Answers != 0
 	caughtUp := s.Config.Complete >= message.Digest.Revision
 	s.Start.heard(message.From.Address, message.Digest, answered && caughtUp)
 	if message.Digest.Ready && answered && caughtUp {
@@ -31,19 +32,16 @@
 	return append(s.serve(now, message), s.compare(now, message)...)
 }
 
-// takeAnswer applies the values in a message and tells whether the message was an answer.
-func (s *State) takeAnswer(message gossip.Message) bool {
-	if message.Delta == nil && message.Copy == nil {
-		return false
-	}
-	s.Gossip.Answered(message.From.Address)
+// takeValues applies the values in a message.
+func (s *State) takeValues(message gossip.Message) {
 	if message.Delta != nil {
+		s.Gossip.Answered(message.From.Address)
 		s.outcome(s.Config.Apply(*message.Delta))
 	}
 	if message.Copy != nil {
+		s.Gossip.Answered(message.From.Address)
 		s.outcome(s.Config.Merge(*message.Copy))
 	}
-	return true
 }
 
 // serve answers what the message asks for.
@@ -55,6 +53,9 @@
 	answer := s.message(now, to)
 	answer.Answers = message.Want.Nonce
 	answer.Leaves = s.Leaves.All()
+	if message.Want.DigestOnly {
+		return []Effect{SendPeer{To: to, Message: answer}}
+	}
 	if delta, known := s.Config.Since(message.Want.After, gossip.MaxDeltaBytes); known && !message.Want.Whole {
 		answer.Delta = &delta
 		return []Effect{SendPeer{To: to, Message: answer}}
--- a/core/command/daemon/world_test.go
+++ b/core/command/daemon/world_test.go
@@ -131,7 +131,8 @@
 	latency        time.Duration
 	messages       int
 	bytes          int
-	countBytes     bool
+	// sampleBytes measures one message in so many, and counts it as that many; zero measures none.
+	sampleBytes int
 	// onReady is called when a node becomes ready; it may be nil.
 	onReady func(*node)
 }
@@ -265,9 +266,9 @@
 		return
 	}
 	w.messages++
-	if w.countBytes {
+	if w.sampleBytes > 0 && w.messages%w.sampleBytes == 0 {
 		data, _ := json.Marshal(send.Message)
-		w.bytes += len(data)
+		w.bytes += len(data) * w.sampleBytes
 	}
 	if to.side != n.side || w.random.Float64() < w.loss {
 		return
--- a/core/command/gossip/gossip.go
+++ b/core/command/gossip/gossip.go
@@ -64,8 +64,10 @@
 	Services []model.ServiceName `json:"services,omitempty"`
 	// Whole asks for a whole copy although the changes may be at hand.
 	Whole bool `json:"whole,omitempty"`
-	// Nonce is repeated in the answer; zero when the sender does not care.
-	Nonce uint64 `json:"nonce,omitempty"`
+	// DigestOnly asks for no values yet: the sender wants to know first who has what.
+	DigestOnly bool `json:"digest_only,omitempty"`
+	// Nonce is repeated in the answer; never zero.
+	Nonce uint64 `json:"nonce"`
 }
 
 // Message is all that one daemon sends to another. It expects no reply; answers are messages too.
@@ -76,9 +78,9 @@
 	Digest Digest `json:"digest"`
 	// Want asks the receiver for what the sender lacks.
 	Want *Want `json:"want,omitempty"`
-	// Answers is the nonce of the request that this message answers; zero when there is none.
+	// Answers is the nonce of the request that this message answers; zero when it answers none.
 	Answers uint64 `json:"answers,omitempty"`
-	// Delta or Copy answers a Want; at most one is present.
+	// Delta or Copy has the values of an answer; at most one is present.
 	Delta *model.Delta `json:"delta,omitempty"`
 	Copy  *config.Copy `json:"copy,omitempty"`
 	// Reads is news of reads of the platform.
--- a/core/command/pause/pause.go
+++ b/core/command/pause/pause.go
@@ -1,7 +1,7 @@
 // Package pause notices that the daemon did not run for a while and makes it doubt what it knows.
 //
-//	beats at 0.0 s, 0.1 s, 9.0 s  ->  suspect from 9.0 s; asks peers with nonce 1
-//	ready peer answers nonce 1    ->  trusted again
+//	beats at 0.0 s, 0.1 s, 9.0 s  ->  suspect from 9.0 s; asks peers with nonce 2
+//	ready peer answers nonce 2    ->  trusted again
 //	no answer until 12.0 s        ->  trusted again, for want of anybody who knows better
 package pause
 
@@ -22,13 +22,13 @@
 	Suspect bool
 	// Until is when the suspicion ends by itself; it has no meaning while not Suspect.
 	Until time.Time
-	// Nonce rises by one with each pause. Only answers to questions that carry it count.
+	// Nonce starts at 1 and rises by one with each pause. Only answers to questions that carry it count.
 	Nonce uint64
 }
 
 // New returns the state of a daemon that has not been paused.
 func New(now time.Time) *State {
-	return &State{SeenAt: now}
+	return &State{SeenAt: now, Nonce: 1}
 }
 
 // Ran takes a sign of life of the control goroutine and tells whether a pause has just ended.
