--- a/core/command/daemon/measure_test.go
+++ b/core/command/daemon/measure_test.go
@@ -12,7 +12,11 @@
 	"comfreytack/core/model"
 )
 
-var measure = flag.Bool("measure", false, "run the measurements of docs/measurements/control.md")
+var (
+	measure = flag.Bool("measure", false, "run the measurements of docs/measurements/control.md")
+	largest = flag.Int("largest", 1000, "largest fleet to measure")
+	least   = flag.Int("least", 0, "smallest fleet to measure")
+)
 
 const (
 	upstreamsPerService = 26
@@ -155,7 +159,7 @@
 	fmt.Println("| daemons | restarting | changes/s | p50 | p99 | worst | samples | reads/s | messages/s each | bytes/s each |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, shape := range shapes {
-		if testing.Short() && shape.services*shape.perService > 1000 {
+		if size := shape.services * shape.perService; size < *least || size > *largest {
 			continue
 		}
 		f := runFleet(shape)
