--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -73,6 +73,11 @@
 		failure = vouch(call, failure)
 	}
 	w.Header().Set(wire.HeaderRequestID, call.ID)
+	if len(r.TransferEncoding) > 0 {
+		// net/http hides a length beside the chunks. Whoever goes by that length takes what follows the chunks
+		// for another request; there will be none.
+		w.Header().Set("Connection", "close")
+	}
 	if failure != nil {
 		relay.WriteFailure(w, failure)
 		e.settings.Meter.Call(call, e.settings.Now().Sub(began), failure)
--- /dev/null
+++ b/cftd/relay/guard.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"comfreytack/core/model"
+	"comfreytack/core/wire"
+)
+
+const (
+	refusalLinger = 500 * time.Millisecond
+	refusalBytes  = 256 << 10
+)
+
+// Guard returns a listener whose connections refuse requests that two readers may understand differently:
+// net/http accepts folded header lines, and a length beside chunks. The server has to call GuardState.
+func Guard(listener net.Listener) net.Listener {
+	return guardListener{Listener: listener}
+}
+
+// GuardState is the ConnState of a server whose listener is guarded.
+func GuardState(conn net.Conn, state http.ConnState) {
+	guarded, ok := conn.(*guardConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		guarded.expect(true)
+	case http.StateActive:
+		guarded.expect(false)
+	}
+}
+
+type guardListener struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (l guardListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &guardConn{Conn: conn, inHeader: true}, nil
+}
+
+// guardConn looks at the bytes between the end of one request and the server's having read the next header.
+type guardConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// inHeader is true while the next byte belongs to a request's header.
+	inHeader bool
+	refused  bool
+	scan     headerScan
+}
+
+func (c *guardConn) expect(header bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHeader = header
+	c.scan = headerScan{line: c.scan.line[:0]}
+}
+
+// Read answers a doubtful header itself and hides the rest of the connection from the server.
+func (c *guardConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if c.doubtful(data[:n]) {
+		c.refuse()
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+func (c *guardConn) doubtful(data []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inHeader || c.refused {
+		return c.refused
+	}
+	done, doubtful := c.scan.add(data)
+	c.inHeader = !done
+	c.refused = doubtful
+	return doubtful
+}
+
+// refuse sends the reply and reads on for a while, so that the reply is not lost to a reset.
+func (c *guardConn) refuse() {
+	_, _ = io.WriteString(c.Conn, doubtfulReply)
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalLinger))
+	_, _ = io.CopyN(io.Discard, c.Conn, refusalBytes)
+}
+
+// CloseWrite lets the server end its side first; it looks for this method.
+func (c *guardConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Write drops what the server says after a refusal.
+func (c *guardConn) Write(data []byte) (int, error) {
+	c.mu.Lock()
+	refused := c.refused
+	c.mu.Unlock()
+	if refused {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(data)
+}
+
+// doubtfulReply is sent in place of the server's own answer.
+var doubtfulReply = "HTTP/1.1 400 Bad Request\r\n" +
+	wire.HeaderVerdict + ": " + model.NotRun.String() + "\r\n" +
+	wire.HeaderReason + ": " + model.BadRequest.String() + "\r\n" +
+	"Content-Length: 0\r\nConnection: close\r\n\r\n"
+
+// headerScan reads one header line by line.
+type headerScan struct {
+	// line is the part of the current line that came so far.
+	line    []byte
+	started bool
+	length  bool
+	chunks  bool
+}
+
+// add takes more bytes. It is done at the empty line, and doubtful at the first line that two readers may
+// understand differently.
+func (s *headerScan) add(data []byte) (done, doubtful bool) {
+	for {
+		end := bytes.IndexByte(data, '\n')
+		if end < 0 {
+			s.line = append(s.line, data...)
+			return false, false
+		}
+		s.line = append(s.line, data[:end]...)
+		data = data[end+1:]
+		line := bytes.TrimSuffix(s.line, []byte("\r"))
+		s.line = s.line[:0]
+		if len(line) == 0 && s.started {
+			return true, false
+		}
+		if s.doubtful(line) {
+			return true, true
+		}
+	}
+}
+
+func (s *headerScan) doubtful(line []byte) bool {
+	if !s.started {
+		// Empty lines before a request are allowed.
+		s.started = len(line) > 0
+		return false
+	}
+	if line[0] == ' ' || line[0] == '\t' {
+		return true
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	s.length = s.length || bytes.EqualFold(name, []byte("Content-Length"))
+	s.chunks = s.chunks || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	return s.length && s.chunks
+}
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"comfreytack/cftd/relay"
 	"comfreytack/core/setup"
 )
 
@@ -40,7 +41,7 @@
 	running.Go(func() error { return parts.control(control, listeners[peerListener]) })
 	servers := []*http.Server{newServer(parts.callers), newServer(parts.gate), newServer(parts.operators)}
 	for i, server := range servers {
-		running.Go(func() error { return ignoreClosed(server.Serve(listeners[i])) })
+		running.Go(func() error { return ignoreClosed(server.Serve(relay.Guard(listeners[i]))) })
 	}
 	log.Info("started", "name", settings.Name, "service", settings.Service, "callers", settings.Callers, "version", Version)
 	<-ctx.Done()
@@ -92,6 +93,7 @@
 		WriteTimeout:      exchangeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         relay.GuardState,
 	}
 }
 
