Ask idle gates for their load within the one measuring budget

Cause: knowledge of gates that got no calls went stale; names without a contract could make up metric labels without end. Chosen: cftd/asks spends what core/command/probe grants; customers without a contract count as unknown. Ruled out: asking upstreams, which only the daemon beside them does.

--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -61,7 +61,9 @@
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	began := e.settings.Now()
-	call, failure := readCall(r, e.settings.Snapshot(), began)
+	snapshot := e.settings.Snapshot()
+	call, failure := readCall(r, snapshot, began)
+	_, contracted := snapshot.Contracts[call.Customer]
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
 	var answer *http.Response
@@ -80,13 +82,16 @@
 	}
 	if failure != nil {
 		relay.WriteFailure(w, failure)
-		e.settings.Meter.Call(call, e.settings.Now().Sub(began), failure)
+		e.settings.Meter.Call(call, contracted, e.settings.Now().Sub(began), failure)
 		return
 	}
 	w.Header().Set(wire.HeaderVerdict, verdict.String())
 	w.Header().Set(wire.HeaderReason, model.NoReason.String())
 	broken := relay.WriteAnswer(w, answer)
-	e.settings.Meter.Call(call, e.settings.Now().Sub(began), broken)
+	if broken != nil && broken.Reason == model.Truncated {
+		e.settings.Meter.Truncated.WithLabelValues(string(call.Customer), string(call.Service)).Inc()
+	}
+	e.settings.Meter.Call(call, contracted, e.settings.Now().Sub(began), broken)
 	if broken != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -10,9 +10,14 @@
 	"comfreytack/core/wire"
 )
 
-// Handler takes calls from other daemons' entries.
+// Handler takes calls from other daemons' entries, and their questions for a report.
 func Handler[D admit.Discipline](g *Gate[D]) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(wire.HeaderAsk) != "" {
+			wire.PutReport(w.Header(), g.Report())
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
 		now := g.settings.Now()
 		call, err := wire.TakeCall(r, now)
 		if failure, bad := err.(*model.Failure); bad {
--- a/cftd/meter/meter.go
+++ b/cftd/meter/meter.go
@@ -25,6 +25,8 @@
 	Failures *prometheus.CounterVec
 	// Attempts counts what the entry sent to gates.
 	Attempts *prometheus.CounterVec
+	// Asked counts the questions to gates for their load.
+	Asked prometheus.Counter
 	// Sends counts the sends of keys at their home by what was done: run, join, replay (a re-send answered from
 	// memory) or refuse.
 	Sends *prometheus.CounterVec
@@ -48,6 +50,9 @@
 		Attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreytack_attempts_total", Help: "Attempts sent to gates, by service.",
 		}, []string{"service"}),
+		Asked: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "comfreytack_asks_total", Help: "Questions to other daemons' gates for their load.",
+		}),
 		Sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreytack_key_sends_total", Help: "Sends of idempotency keys at their home, by what was done.",
 		}, []string{"customer", "action"}),
@@ -55,17 +60,25 @@
 			Name: "comfreytack_truncated_answers_total", Help: "Answers that ended before their framing said so.",
 		}, []string{"customer", "service"}),
 	}
-	m.Registry.MustRegister(m.Calls, m.Waits, m.Failures, m.Attempts, m.Sends, m.Truncated,
+	m.Registry.MustRegister(m.Calls, m.Waits, m.Failures, m.Attempts, m.Asked, m.Sends, m.Truncated,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
-// Call records the end of a call at the entry. The failure is nil for an answer.
-func (m *Meter) Call(call model.Call, took time.Duration, failure *model.Failure) {
+// unknownCustomer stands for names without a contract, which callers could make up without end.
+const unknownCustomer = "unknown"
+
+// Call records the end of a call at the entry. The failure is nil for an answer; contracted says whether
+// the customer has a contract.
+func (m *Meter) Call(call model.Call, contracted bool, took time.Duration, failure *model.Failure) {
 	class := call.Class.String()
-	m.Calls.WithLabelValues(string(call.Customer), class).Observe(took.Seconds())
+	customer := unknownCustomer
+	if contracted {
+		customer = string(call.Customer)
+	}
+	m.Calls.WithLabelValues(customer, class).Observe(took.Seconds())
 	if failure != nil {
-		m.Failures.WithLabelValues(string(call.Customer), class, failure.Verdict.String(), failure.Reason.String()).Inc()
+		m.Failures.WithLabelValues(customer, class, failure.Verdict.String(), failure.Reason.String()).Inc()
 	}
 }
 
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"comfreytack/cftd/asks"
 	"comfreytack/cftd/entry"
 	"comfreytack/cftd/gate"
 	"comfreytack/cftd/home"
@@ -23,6 +24,7 @@
 	"comfreytack/core/command/ledger"
 	"comfreytack/core/command/load"
 	"comfreytack/core/command/poison"
+	"comfreytack/core/command/probe"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/query/route"
@@ -55,6 +57,7 @@
 	gate      http.Handler
 	operators http.Handler
 	control   func(context.Context, net.Listener) error
+	ask       func(context.Context)
 	stop      func()
 	// finish waits for work that no connection waits for.
 	finish func(context.Context)
@@ -69,12 +72,27 @@
 	plane    *controlPlane
 	control  *loop.Loop[daemon.Event, daemon.Effect]
 	meter    *meter.Meter
+	// links holds the connections to other daemons' gates.
+	links  *http.Transport
+	book   *load.Book
+	asking *probe.Budget
 }
 
 func build(settings setup.Settings, options Options, log *slog.Logger) (*parts, error) {
 	self := selfOf(settings, time.Now())
 	plane := newControl(settings, self, log)
-	p := plan{settings: settings, options: options, log: log, self: self, plane: plane, control: plane.loop, meter: meter.New()}
+	p := plan{
+		settings: settings,
+		options:  options,
+		log:      log,
+		self:     self,
+		plane:    plane,
+		control:  plane.loop,
+		meter:    meter.New(),
+		links:    relay.NewTransport(gateConnections, gateIdle),
+		book:     load.New(self, load.DefaultSettings()),
+		asking:   probe.New(time.Now(), probe.DefaultSettings()),
+	}
 	switch options.Discipline {
 	case "fair":
 		return buildGate(p, admit.NewFair())
@@ -131,7 +149,7 @@
 		Home:      keeper,
 		Self:      p.self,
 		Local:     local,
-		Transport: relay.NewTransport(gateConnections, gateIdle),
+		Transport: p.links,
 		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Send:      sending,
@@ -142,11 +160,23 @@
 		gate:      front.GateHandler(gate.Handler(local)),
 		operators: oper.Handler(oper.Settings{Snapshot: p.control.Snapshot, Report: local.Report, Meter: p.meter, Version: Version}),
 		control:   p.plane.run,
+		ask:       newAsker(p).Run,
 		stop:      func() { p.control.Post(daemon.StopAsked{}) },
 		finish:    keeper.Wait,
 	}, nil
 }
 
+func newAsker(p plan) *asks.Asker {
+	return asks.New(asks.Settings{
+		Self:      p.self.Name,
+		Budget:    p.asking,
+		Book:      p.book,
+		Transport: p.links,
+		Now:       time.Now,
+		Meter:     p.meter,
+	})
+}
+
 func buildSend(p plan) (entry.Send, error) {
 	policy, known := route.ByName(p.options.Policy).Get()
 	if !known {
@@ -159,7 +189,8 @@
 	sender := send.New(send.Settings{
 		Snapshot: p.control.Snapshot,
 		Now:      time.Now,
-		Book:     load.New(p.self, load.DefaultSettings()),
+		Book:     p.book,
+		Asking:   p.asking,
 		Retries:  budget.New(budget.DefaultSettings()),
 	}, route.New(policy))
 	return func(ctx context.Context, call model.Call, carrier send.Carrier[*http.Response]) (*http.Response, *model.Failure) {
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -42,6 +42,7 @@
 	defer stopControl()
 	var running errgroup.Group
 	running.Go(func() error { return parts.control(control, listeners[peerListener]) })
+	running.Go(func() error { parts.ask(control); return nil })
 	var stopping atomic.Bool
 	servers := []*http.Server{
 		newServer(closeWhen(&stopping, parts.callers)),
--- a/core/command/load/load.go
+++ b/core/command/load/load.go
@@ -148,6 +148,17 @@
 	b.publish(groups)
 }
 
+// Upstreams returns the upstreams of all subsets.
+func (b *Book) Upstreams() []model.Upstream {
+	var upstreams []model.Upstream
+	for _, g := range b.table.Load().groups {
+		for _, m := range g.members {
+			upstreams = append(upstreams, m.upstream)
+		}
+	}
+	return upstreams
+}
+
 // Size returns how many upstreams the book knows.
 func (b *Book) Size() int {
 	return len(b.table.Load().lives)
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -10,6 +10,7 @@
 
 	"comfreytack/core/command/budget"
 	"comfreytack/core/command/load"
+	"comfreytack/core/command/probe"
 	"comfreytack/core/model"
 	"comfreytack/core/query/retry"
 	"comfreytack/core/query/route"
@@ -33,6 +34,8 @@
 	Now func() time.Time
 	// Book has what is known of the upstreams' load.
 	Book *load.Book
+	// Asking earns the questions that keep knowledge of idle gates fresh.
+	Asking *probe.Budget
 	// Retries bounds the retries of each customer.
 	Retries *budget.Book
 }
@@ -97,11 +100,14 @@
 	counted := s.settings.Book.Began(upstream.Name)
 	ended := func(result load.Result) {
 		now := s.settings.Now()
-		s.settings.Book.Ended(now, counted, load.Outcome{Result: result, Latency: now.Sub(began)})
+		s.settings.Book.Ended(now, counted, load.Outcome{Result: result, Latency: now.Sub(began), Class: call.Class})
 	}
+	s.settings.Asking.Sent()
 	answer, report, failure := carrier.Attempt(ctx, call, upstream, ended)
 	if report != nil {
-		s.settings.Book.Reported(s.settings.Now(), *report)
+		now := s.settings.Now()
+		s.settings.Book.Reported(now, *report)
+		s.settings.Asking.Learned(now, upstream.Name)
 	}
 	return answer, failure
 }
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -33,6 +33,7 @@
 	HeaderReport      = "Comfreytack-Report"
 	HeaderSpent       = "Comfreytack-Spent"
 	HeaderSuspect     = "Comfreytack-Suspect"
+	HeaderAsk         = "Comfreytack-Ask"
 	ownPrefix         = "Comfreytack-"
 )
 
