Count whole answers as served when an earlier attempt may have run too

The answer of an idempotent request that was tried again comes with the verdict may_have_run; the caller has its whole answer all the same. Example services publish 503 as the status by which their upstreams shed.

--- a/cftlab/deploy/simple.go
+++ b/cftlab/deploy/simple.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"comfreytack/core/model"
 	"comfreytack/core/setup"
@@ -31,7 +32,11 @@
 	}
 	for _, simple := range services {
 		service := model.Service{
-			Name: simple.Name, Slots: simpleSlots, Connections: simpleConnections, Routes: simple.Routes,
+			Name:        simple.Name,
+			Slots:       simpleSlots,
+			Connections: simpleConnections,
+			ShedStatus:  http.StatusServiceUnavailable,
+			Routes:      simple.Routes,
 		}
 		for number := 1; number <= simple.Upstreams; number++ {
 			service.Upstreams = append(service.Upstreams, model.Upstream{
--- a/cftlab/loader/model.go
+++ b/cftlab/loader/model.go
@@ -94,7 +94,8 @@
 // NoVerdict is the reason of a record whose answer named none.
 const NoVerdict = "no_verdict"
 
-// Served says that the caller got the whole answer of a successful run.
+// Served says that the caller got the whole answer of a successful run. The verdict of such an answer is
+// may_have_run when an earlier attempt of an idempotent request may have run too.
 func (r Record) Served() bool {
-	return r.Verdict == model.Ran && r.Status >= 200 && r.Status < 400 && !r.Wrong
+	return r.Verdict != model.NotRun && r.Status >= 200 && r.Status < 400 && !r.Wrong
 }
--- a/cftlab/tally/tally.go
+++ b/cftlab/tally/tally.go
@@ -88,19 +88,19 @@
 
 func (r *Row) count(record loader.Record) {
 	switch {
-	case record.Verdict == model.NotRun:
-		r.NotRun++
-	case record.Verdict == model.MayHaveRun:
-		r.MayHaveRun++
 	case record.Wrong:
 		r.Wrong++
-	case !record.Served():
-		r.Failed++
-	default:
+	case record.Served():
 		r.Served++
 		if record.Latency <= record.Deadline {
 			r.InTime++
 		}
+	case record.Verdict == model.NotRun:
+		r.NotRun++
+	case record.Verdict == model.MayHaveRun:
+		r.MayHaveRun++
+	default:
+		r.Failed++
 	}
 }
 
@@ -125,8 +125,9 @@
 
 // Totals is what a whole run of load comes to.
 type Totals struct {
-	Sent       int `json:"sent"`
-	Served     int `json:"served"`
+	Sent   int `json:"sent"`
+	Served int `json:"served"`
+	// NotRun and MayHaveRun count verdicts of sends that were not served.
 	NotRun     int `json:"not_run"`
 	MayHaveRun int `json:"may_have_run"`
 	// WrongAnswer counts answers that belong to no or another request, and answers without a run.
@@ -176,15 +177,14 @@
 // add counts one send, given how often its id and its work ran.
 func (t *Totals) add(record loader.Record, ranID, ranWork int) {
 	t.Sent++
-	switch record.Verdict {
-	case model.NotRun:
+	switch {
+	case record.Served():
+		t.Served++
+	case record.Verdict == model.NotRun:
 		t.NotRun++
-	case model.MayHaveRun:
+	case record.Verdict == model.MayHaveRun:
 		t.MayHaveRun++
 	}
-	if record.Served() {
-		t.Served++
-	}
 	if record.Wrong || (record.Served() && ranWork == 0) {
 		t.WrongAnswer++
 	}
--- a/cftlab/tally/tally_test.go
+++ b/cftlab/tally/tally_test.go
@@ -83,6 +83,12 @@
 			runs:    []string{"a"},
 			want:    tally.Totals{Sent: 2, NotRun: 1, MayHaveRun: 1, LaterNotRun: 1},
 		},
+		{
+			name:    "a whole answer after a broken attempt of a lookup",
+			records: []loader.Record{{ID: "a", Work: "a", Idempotent: true, Verdict: model.MayHaveRun, Status: 200}},
+			runs:    []string{"a", "a"},
+			want:    tally.Totals{Sent: 1, Served: 1},
+		},
 		{
 			name:    "an answer of another request",
 			records: []loader.Record{wrong},
