Run a deployment under overlapping faults drawn from a seed

cftlab faults kills, stops and pauses daemons and upstreams, switches faults of upstreams and the platform, sends the deployment's load meanwhile and compares the callers' records with the run logs.

--- /dev/null
+++ b/cftlab/fleet/faults.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"comfreytack/cftlab/deploy"
+	"comfreytack/cftlab/plat"
+	"comfreytack/cftlab/stub"
+	"comfreytack/core/model"
+)
+
+// Switch changes faults of a fake upstream.
+func (f *Fleet) Switch(ctx context.Context, place deploy.Place, change stub.Change) error {
+	return post(ctx, place.Control, change)
+}
+
+// SwitchPlatform changes faults of the platform.
+func (f *Fleet) SwitchPlatform(ctx context.Context, change plat.FaultChange) error {
+	return post(ctx, f.settings.Site.PlatformControl, change)
+}
+
+func post(ctx context.Context, control model.Address, change any) error {
+	body, err := json.Marshal(change)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	address := "http://" + string(control) + "/control"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body) // the status is error enough
+		return errors.Errorf("%s: %s %s", address, response.Status, text)
+	}
+	return nil
+}
+
+// KillUpstream ends a fake upstream at once; its daemon stays.
+func (f *Fleet) KillUpstream(place deploy.Place) {
+	f.upstream(place).Kill()
+}
+
+// KillDaemon ends a daemon at once; its upstream stays.
+func (f *Fleet) KillDaemon(place deploy.Place) {
+	f.daemon(place).Kill()
+}
+
+// StopDaemon stops a daemon gracefully and waits for its end.
+func (f *Fleet) StopDaemon(place deploy.Place) {
+	f.daemon(place).Stop(stopGrace)
+}
+
+// PauseDaemon stops all threads of a daemon until ResumeDaemon.
+func (f *Fleet) PauseDaemon(place deploy.Place) {
+	f.daemon(place).pause()
+}
+
+// ResumeDaemon lets a paused daemon go on.
+func (f *Fleet) ResumeDaemon(place deploy.Place) {
+	f.daemon(place).resume()
+}
+
+func (f *Fleet) upstream(place deploy.Place) *Process {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.upstreams[place.Daemon.Name]
+}
+
+func (f *Fleet) daemon(place deploy.Place) *Process {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.daemons[place.Daemon.Name]
+}
--- a/cftlab/fleet/proc.go
+++ b/cftlab/fleet/proc.go
@@ -25,7 +25,7 @@
 // start runs a program whose output goes to a file in folder.
 func start(name, folder, program string, args ...string) (*Process, error) {
 	log := filepath.Join(folder, name+".log")
-	file, err := os.Create(log)
+	file, err := os.OpenFile(log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, fileMode)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -56,6 +56,14 @@
 	_ = p.command.Process.Signal(syscall.SIGTERM) // it may have ended by itself
 }
 
+func (p *Process) pause() {
+	_ = p.command.Process.Signal(syscall.SIGSTOP) // it may have ended by itself
+}
+
+func (p *Process) resume() {
+	_ = p.command.Process.Signal(syscall.SIGCONT) // it may have ended by itself
+}
+
 // Stop asks the process to stop, kills it after grace and says whether it stopped by itself.
 func (p *Process) Stop(grace time.Duration) bool {
 	p.Terminate()
--- /dev/null
+++ b/cftlab/verbs/faults.go
@@ -0,0 +1,118 @@
+package verbs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreytack/cftlab/deploy"
+	"comfreytack/cftlab/faults"
+	"comfreytack/cftlab/fleet"
+	"comfreytack/cftlab/loader"
+)
+
+var faultsVerb = Verb{
+	Name:    "faults",
+	Summary: "run a deployment under load and overlapping faults drawn from a seed, and check the run logs",
+	New:     func() Action { return &faultRun{} },
+}
+
+type faultRun struct {
+	Deployment  string   `long:"deployment" default:"quito" description:"folder of a deployment below --deployments"`
+	Deployments string   `long:"deployments" default:"deployments" value-name:"FOLDER" description:"folder of all deployments"`
+	Seconds     float64  `long:"seconds" default:"15" description:"how long to send load in each round"`
+	Scale       float64  `long:"scale" default:"1" description:"multiplies all rates"`
+	Seed        uint64   `long:"seed" default:"1" description:"seed of the first round"`
+	Rounds      int      `long:"rounds" default:"1" description:"how many rounds, each with the next seed"`
+	Count       int      `long:"count" default:"20" description:"faults in each round"`
+	Kind        []string `long:"kind" description:"only faults of this kind; may be repeated"`
+	Bin         string   `long:"bin" default:"bin" value-name:"FOLDER" description:"folder of the programs"`
+	Flag        []string `long:"flag" value-name:"FLAG" description:"passed to every daemon; may be repeated"`
+}
+
+// Run runs all rounds; it goes on after a round that shows a broken promise, and fails at the end.
+func (f *faultRun) Run(ctx context.Context, streams Streams) error {
+	kinds, err := f.kinds()
+	if err != nil {
+		return err
+	}
+	deployment, err := deploy.Load(os.DirFS(filepath.Join(f.Deployments, f.Deployment)))
+	if err != nil {
+		return err
+	}
+	failed := []uint64{}
+	for round := range f.Rounds {
+		seed := f.Seed + uint64(round)
+		err := f.round(ctx, streams, deployment, kinds, seed)
+		if errors.Is(err, errBroken) {
+			failed = append(failed, seed)
+		} else if err != nil {
+			return errors.Wrapf(err, "seed %d", seed)
+		}
+	}
+	if len(failed) > 0 {
+		return errors.Wrapf(errBroken, "seeds %v", failed)
+	}
+	return nil
+}
+
+func (f *faultRun) kinds() ([]faults.Kind, error) {
+	if len(f.Kind) == 0 {
+		return faults.AllKinds(), nil
+	}
+	kinds := []faults.Kind{}
+	for _, name := range f.Kind {
+		kind, err := faults.ParseKind(name)
+		if err != nil {
+			return nil, err
+		}
+		kinds = append(kinds, kind)
+	}
+	return kinds, nil
+}
+
+func (f *faultRun) round(
+	ctx context.Context, streams Streams, deployment deploy.Deployment, kinds []faults.Kind, seed uint64,
+) error {
+	folder, err := os.MkdirTemp("", "cftlab-faults-")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	site := deployment.Place(fleet.NewPorts(os.Getpid()).Next)
+	running, err := fleet.Launch(ctx, fleet.Settings{Bin: f.Bin, Folder: folder, Site: site, Flags: f.Flag})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(streams.Out, "seed %d\n", seed)
+	random := rand.New(rand.NewPCG(seed, 0))
+	drawn := faults.Draw(random, kinds, len(site.Places), f.Count, seconds(f.Seconds))
+	applier := faults.New(running, site.Places, func(text string) { fmt.Fprintln(streams.Out, text) })
+	failed := make(chan error, 1)
+	go func() { failed <- applier.Run(ctx, drawn) }()
+	records, err := loader.Run(ctx, loader.Settings{
+		Targets: site.Callers(),
+		Span:    seconds(f.Seconds),
+		Seed:    seed,
+		Prefix:  prefix(time.Now()),
+	}, deployment.Plan.Scaled(f.Scale))
+	if failure := <-failed; err == nil {
+		err = failure
+	}
+	running.Stop()
+	if err == nil && ctx.Err() != nil {
+		err = errors.New("interrupted; all processes were stopped")
+	}
+	if err != nil {
+		return err
+	}
+	if err := report(streams, "faults", records, running); err != nil {
+		fmt.Fprintf(streams.Errs, "logs and run logs: %s\n", folder)
+		return err
+	}
+	return errors.WithStack(os.RemoveAll(folder))
+}
--- a/cftlab/verbs/verbs.go
+++ b/cftlab/verbs/verbs.go
@@ -46,6 +46,7 @@
 		upstreamVerb,
 		platformVerb,
 		demoVerb,
+		faultsVerb,
 		loadVerb,
 		addedVerb,
 		compareVerb,
