--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"comfreytack/cftd/relay"
 	"comfreytack/core/setup"
 )
 
@@ -48,7 +49,7 @@
 		newServer(parts.operators),
 	}
 	for i, server := range servers {
-		running.Go(func() error { return ignoreClosed(server.Serve(listeners[i])) })
+		running.Go(func() error { return ignoreClosed(server.Serve(relay.Guard(listeners[i]))) })
 	}
 	log.Info("started", "name", settings.Name, "service", settings.Service, "callers", settings.Callers, "version", Version)
 	<-ctx.Done()
@@ -115,6 +116,7 @@
 		WriteTimeout:      exchangeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         relay.GuardState,
 	}
 }
 
