Keep a customer's queue whole when its debt is forgiven while it starts

A flow that had just given up its last waiting ticket stood among the indebted; starting that ticket moved the virtual time past its debt and dropped the flow while it ran. The next arrival then made a second flow under the same name, and when the first ended it took the second out of the queue: a ticket was lost until its deadline. The random walk now picks tickets that exist and draws the number of slots, and fails on the old code too.

Ruled out: a wrong estimate of the wait, since the refusals came at the deadline.

--- a/core/command/admit/gate_test.go
+++ b/core/command/admit/gate_test.go
@@ -1,6 +1,8 @@
 package admit_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,7 +17,9 @@
 // walk drives a gate by random steps and knows what state each ticket is in.
 type walk[D admit.Discipline] struct {
 	testing.TB
-	gate    *admit.Gate[D]
+	gate *admit.Gate[D]
+	// full is the number of slots that the limits were made for.
+	full    int
 	now     time.Time
 	last    uint64
 	waiting map[uint64]admit.Ticket
@@ -26,17 +30,20 @@
 	"a": {Customer: "a", Weight: 1},
 	"b": {Customer: "b", Weight: 5},
 	"c": {Customer: "c", Weight: 1, Tier: model.Background},
+	"d": {Customer: "d", Weight: 2},
+	"e": {Customer: "e", Weight: 1},
 }
 
-func newWalk[D admit.Discipline](t testing.TB, discipline D) *walk[D] {
+func newWalk[D admit.Discipline](t testing.TB, full int, discipline D) *walk[D] {
 	w := &walk[D]{
 		TB:      t,
-		gate:    admit.New(slots, discipline),
+		gate:    admit.New(full, discipline),
+		full:    full,
 		now:     epoch,
 		waiting: map[uint64]admit.Ticket{},
 		running: map[uint64]admit.Ticket{},
 	}
-	w.take(w.gate.SetLimits(epoch, slots, limits.Of(walkContracts, slots)))
+	w.take(w.gate.SetLimits(epoch, full, limits.Of(walkContracts, full)))
 	return w
 }
 
@@ -44,9 +51,9 @@
 	w.last++
 	ticket := admit.Ticket{
 		ID:       w.last,
-		Customer: rapid.SampledFrom([]model.Customer{"a", "b", "c"}).Draw(r, "customer"),
+		Customer: rapid.SampledFrom([]model.Customer{"a", "b", "c", "d", "e"}).Draw(r, "customer"),
 		Class:    model.Class(rapid.IntRange(0, 1).Draw(r, "class")),
-		Deadline: w.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(r, "deadline")) * ms),
+		Deadline: w.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(r, "deadline")) * ms),
 	}
 	ticket.Tier = walkContracts[ticket.Customer].Tier
 	w.waiting[ticket.ID] = ticket
@@ -59,24 +66,31 @@
 	case 0, 1, 2, 3, 4, 5:
 		w.arrive(r)
 	case 6, 7, 8:
-		w.finish(rapid.Uint64Range(1, w.last+1).Draw(r, "finish"))
+		w.finish(w.pick(r, w.running))
 	case 9:
-		id := rapid.Uint64Range(1, w.last+1).Draw(r, "cancel")
+		id := w.pick(r, w.waiting)
 		_, waits := w.waiting[id]
 		qt.Assert(w, w.gate.Cancel(id), qt.Equals, waits)
 		delete(w.waiting, id)
 	case 10:
-		w.take(w.gate.Resize(w.now, rapid.IntRange(1, slots).Draw(r, "slots")))
+		w.take(w.gate.Resize(w.now, rapid.IntRange(1, w.full).Draw(r, "slots")))
 	case 11:
 		w.now = w.now.Add(time.Duration(rapid.IntRange(0, 50).Draw(r, "elapse")) * ms)
 	case 12:
-		id := rapid.Uint64Range(1, w.last+1).Draw(r, "abandon")
+		id := w.pick(r, w.running)
 		_, runs := w.running[id]
 		qt.Assert(w, w.gate.Abandon(id), qt.Equals, runs)
 	}
 	w.take(w.gate.Expire(w.now))
 }
 
+// pick returns one of the tickets, or now and then one that may not be among them.
+func (w *walk[D]) pick(r *rapid.T, tickets map[uint64]admit.Ticket) uint64 {
+	ids := slices.Sorted(maps.Keys(tickets))
+	ids = append(ids, w.last)
+	return rapid.SampledFrom(ids).Draw(r, "ticket")
+}
+
 func (w *walk[D]) finish(id uint64) {
 	delete(w.running, id)
 	w.take(w.gate.Finish(w.now, id))
@@ -105,7 +119,7 @@
 	for _, other := range w.running {
 		long += int(other.Class)
 	}
-	qt.Assert(w, ticket.Class == model.Short || long < max(1, slots/3), qt.IsTrue)
+	qt.Assert(w, ticket.Class == model.Short || long < max(1, w.full/3), qt.IsTrue)
 	w.running[ticket.ID] = ticket
 }
 
@@ -124,12 +138,12 @@
 }
 
 func walkGate[D admit.Discipline](t testing.TB, r *rapid.T, discipline D) {
-	w := newWalk(t, discipline)
+	w := newWalk(t, rapid.IntRange(1, slots).Draw(r, "full"), discipline)
 	for range rapid.IntRange(1, 200).Draw(r, "steps") {
 		w.step(r)
 		w.settled()
 	}
-	w.take(w.gate.Resize(w.now, slots))
+	w.take(w.gate.Resize(w.now, w.full))
 	for len(w.running) > 0 {
 		for id := range w.running {
 			w.finish(id)
--- a/core/command/admit/lane.go
+++ b/core/command/admit/lane.go
@@ -178,14 +178,15 @@
 	}
 }
 
-// flow returns the customer's flow. One that was not waiting joins at the virtual time, or at its own tag
-// when it owes.
+// flow returns the customer's flow for a change that ends with place. One that was not waiting joins at the
+// virtual time, or at its own tag when it owes; it leaves the indebted, so that advance cannot drop it.
 func (l *lane) flow(customer model.Customer, limits model.Limits) *flow {
 	owner, found := l.flows[customer]
 	if !found {
 		owner = &flow{customer: customer, lane: l, weight: 1}
 		l.flows[customer] = owner
 	}
+	l.indebted.Remove(customer)
 	owner.setLimits(limits)
 	owner.tag = max(owner.tag, l.virtual)
 	return owner
