--- a/core/command/adapt/policy.go
+++ b/core/command/adapt/policy.go
@@ -91,6 +91,8 @@
 	// leastBackoff and mostBackoff bound the windows between a failed cut and the next.
 	leastBackoff = 8
 	mostBackoff  = 128
+	// earlyRatio is the ratio of a window's rate to the rate before below which a cut has failed.
+	earlyRatio = 0.8
 	// rateWindows is how many windows the rate before a cut averages over, more or less.
 	rateWindows = 4
 )
@@ -124,24 +126,31 @@
 	return limit * p.Cut
 }
 
-// judge goes on with a tried cut, then keeps it or takes it back.
+// judge goes on with a tried cut, then keeps it or takes it back; a window that fell far ends it early.
 func (p *Verified) judge(limit float64, window Window) float64 {
 	p.windows++
 	if p.windows <= settlingWindows {
 		return limit
 	}
 	p.tried += window.Rate
-	if p.windows < settlingWindows+triedWindows {
+	failed := window.Saturated && window.Rate < earlyRatio*p.Gain*p.before.rate
+	if p.windows < settlingWindows+triedWindows && !failed {
 		return limit
 	}
-	before := p.before
-	after := p.tried / triedWindows
-	p.before.rate = 0
-	p.slow = 0
-	if after >= p.Gain*before.rate || !window.Saturated {
+	if !window.Saturated || p.tried >= triedWindows*p.Gain*p.before.rate {
+		p.before.rate = 0
+		p.slow = 0
+		p.backoff = leastBackoff
 		return limit
 	}
+	return p.restore()
+}
+
+// restore takes a cut back and lets the next one wait.
+func (p *Verified) restore() float64 {
+	p.before.rate = 0
+	p.slow = 0
 	p.pause = max(leastBackoff, p.backoff)
 	p.backoff = min(mostBackoff, 2*p.pause)
-	return before.limit
+	return p.before.limit
 }
