Count only short work in the expected wait of short work

Reports and refusals took queued long work, and slots that long work holds, for short work that would soon be over. The wait now spreads the queued short work over the slots that long work does not hold. Arrival cases run on both disciplines and state where one queue differs.

--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -21,9 +21,11 @@
 	running map[uint64]*held
 	// long counts the running tickets of class Long.
 	long int
-	// deadlines has the waiting tickets, and shorts the running ones of class Short by their start.
-	deadlines *heap.Heap[uint64, time.Time]
-	shorts    *heap.Heap[uint64, time.Time]
+	// queued has the waiting tickets by deadline, and queuedShort counts those of class Short.
+	queued      *heap.Heap[uint64, Ticket]
+	queuedShort int
+	// shorts has the running tickets of class Short by their start.
+	shorts *heap.Heap[uint64, time.Time]
 	// times has the measured service times by class.
 	times [2]estimate
 }
@@ -31,7 +33,7 @@
 type held struct {
 	ticket    Ticket
 	startedAt time.Time
-	// abandoned tickets have no caller any more; how long they run says nothing of a service time.
+	// abandoned tickets do not end by themselves; how long they run says nothing of a service time.
 	abandoned bool
 	// overrun tickets started as Short.
 	overrun bool
@@ -44,7 +46,7 @@
 		full:       slots,
 		discipline: discipline,
 		running:    map[uint64]*held{},
-		deadlines:  heap.New[uint64](time.Time.Before),
+		queued:     heap.New[uint64](sooner),
 		shorts:     heap.New[uint64](time.Time.Before),
 	}
 }
@@ -86,7 +88,7 @@
 		return refusal(ticket, model.TooLate, -spare)
 	}
 	g.discipline.Push(ticket, limits)
-	g.deadlines.Set(ticket.ID, ticket.Deadline)
+	g.enqueued(ticket)
 	return Decision{Ticket: ticket.ID, Action: Wait}
 }
 
@@ -112,15 +114,12 @@
 
 // Cancel takes out a waiting ticket. It returns false when the ticket is not waiting any more.
 func (g *Gate[D]) Cancel(id uint64) bool {
-	if !g.deadlines.Remove(id) {
-		return false
-	}
-	return g.discipline.Remove(id)
+	return g.dequeued(id) && g.discipline.Remove(id)
 }
 
-// Abandon notes that the caller of a running ticket is gone, so that the time it still holds its slot,
-// cut short by cancellation or not, does not count as a measured service time. The slot stays taken, and
-// the customer charged, until Finish. It returns false when the ticket is not running.
+// Abandon notes that a running ticket will not end by itself, since its caller is gone or its upstream
+// failed, so that how long it holds its slot does not count as a measured service time. The slot stays
+// taken, and the customer charged, until Finish. It returns false when the ticket is not running.
 func (g *Gate[D]) Abandon(id uint64) bool {
 	h, running := g.running[id]
 	if running {
@@ -131,21 +130,21 @@
 
 // NextDeadline returns the first deadline of the waiting tickets, or false when none waits.
 func (g *Gate[D]) NextDeadline() (time.Time, bool) {
-	_, deadline, found := g.deadlines.Least()
-	return deadline, found
+	_, first, found := g.queued.Least()
+	return first.Deadline, found
 }
 
 // Expire refuses the waiting tickets whose deadline has come.
 func (g *Gate[D]) Expire(now time.Time) []Decision {
 	var decisions []Decision
 	for {
-		id, deadline, found := g.deadlines.Least()
-		if !found || deadline.After(now) {
+		id, first, found := g.queued.Least()
+		if !found || first.Deadline.After(now) {
 			return decisions
 		}
-		g.deadlines.Remove(id)
+		g.dequeued(id)
 		g.discipline.Remove(id)
-		decisions = append(decisions, refusal(Ticket{ID: id}, model.TooLate, 0))
+		decisions = append(decisions, refusal(first, model.TooLate, 0))
 	}
 }
 
@@ -159,8 +158,8 @@
 		ServiceUs: g.ShortService().Microseconds(),
 	}
 	if len(g.running) >= g.Slots {
-		work := time.Duration(g.discipline.Len()+1) * g.ShortService()
-		report.WaitUs = (work / time.Duration(g.Slots)).Microseconds()
+		work := time.Duration(g.queuedShort+1) * g.ShortService()
+		report.WaitUs = (work / g.turning(model.Short)).Microseconds()
 	}
 	return report
 }
@@ -178,7 +177,7 @@
 		if !found {
 			return decisions
 		}
-		g.deadlines.Remove(ticket.ID)
+		g.dequeued(ticket.ID)
 		if g.hopeless(now, ticket) {
 			decisions = append(decisions, refusal(ticket, model.TooLate, 0))
 			continue
@@ -254,13 +253,35 @@
 // of the work that holds the slots, spread over the slots of its class.
 func (g *Gate[D]) wait(ticket Ticket, limits model.Limits) time.Duration {
 	each := g.times[ticket.Class].average()
-	slots := g.Slots
-	if ticket.Class == model.Long {
-		slots = min(slots, limits.LongSlots)
+	return (g.discipline.Ahead(ticket, limits, each) + each) / g.turning(ticket.Class)
+}
+
+// turning counts the slots whose work ends within the service time of a class: those that long work holds
+// do not come back to short work soon.
+func (g *Gate[D]) turning(class model.Class) time.Duration {
+	if class == model.Long {
+		return time.Duration(max(1, g.long))
 	}
-	return (g.discipline.Ahead(ticket, limits, each) + each) / time.Duration(slots)
+	return time.Duration(max(1, g.Slots-g.long))
 }
 
+func (g *Gate[D]) enqueued(ticket Ticket) {
+	g.queued.Set(ticket.ID, ticket)
+	if ticket.Class == model.Short {
+		g.queuedShort++
+	}
+}
+
+func (g *Gate[D]) dequeued(id uint64) bool {
+	ticket, found := g.queued.Remove(id)
+	if found && ticket.Class == model.Short {
+		g.queuedShort--
+	}
+	return found
+}
+
+func sooner(a, b Ticket) bool { return a.Deadline.Before(b.Deadline) }
+
 // limitsOf returns the customer's limits with its shares scaled to the slots that the gate has now.
 func (g *Gate[D]) limitsOf(ticket Ticket) (model.Limits, bool) {
 	limits, known := g.limits[ticket.Customer]
--- a/core/command/admit/gate_test.go
+++ b/core/command/admit/gate_test.go
@@ -169,58 +169,96 @@
 	}
 }
 
-func TestArrivalAndDeadlines(t *testing.T) {
-	deadline := epoch.Add(time.Second)
-	short := func(id uint64) admit.Ticket { return admit.Ticket{ID: id, Customer: "a", Deadline: deadline} }
+// door is what the two disciplines' gates have in common.
+type door interface {
+	Arrive(now time.Time, ticket admit.Ticket) admit.Decision
+	Finish(now time.Time, id uint64) []admit.Decision
+}
+
+// arriveMany sends tickets of customer a at a fresh gate and returns the last decision.
+func arriveMany(gate door, at time.Time, from, until uint64, class model.Class) admit.Decision {
+	var last admit.Decision
+	for id := from; id <= until; id++ {
+		last = gate.Arrive(at, admit.Ticket{ID: id, Customer: "a", Class: class, Deadline: epoch.Add(time.Second)})
+	}
+	return last
+}
+
+func TestArrival(t *testing.T) {
 	tests := []struct {
-		name string
-		act  func(gate *admit.Gate[*admit.Fair]) admit.Decision
-		want admit.Decision
+		name  string
+		slots int
+		act   func(gate door) admit.Decision
+		want  admit.Decision
+		// fifo is the decision of the baseline.
+		fifo admit.Decision
 	}{
 		{
-			name: "no contract",
-			act: func(gate *admit.Gate[*admit.Fair]) admit.Decision {
-				return gate.Arrive(epoch, admit.Ticket{ID: 1, Customer: "stranger", Deadline: deadline})
+			name:  "no contract",
+			slots: 1,
+			act: func(gate door) admit.Decision {
+				return gate.Arrive(epoch, admit.Ticket{ID: 1, Customer: "stranger", Deadline: epoch.Add(time.Second)})
 			},
 			want: admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.NoContract},
+			fifo: admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.NoContract},
 		},
 		{
-			name: "deadline already past",
-			act: func(gate *admit.Gate[*admit.Fair]) admit.Decision {
-				return gate.Arrive(deadline, short(1))
-			},
-			want: admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.TooLate},
+			name:  "deadline already past",
+			slots: 1,
+			act:   func(gate door) admit.Decision { return arriveMany(gate, epoch.Add(time.Second), 1, 1, model.Short) },
+			want:  admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.TooLate},
+			fifo:  admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.TooLate},
+		},
+		{
+			name:  "one slot and sixteen places in the queue",
+			slots: 1,
+			act:   func(gate door) admit.Decision { return arriveMany(gate, epoch, 1, 18, model.Short) },
+			want:  admit.Decision{Ticket: 18, Action: admit.Refuse, Reason: model.QueueFull},
+			fifo:  admit.Decision{Ticket: 18, Action: admit.Refuse, Reason: model.QueueFull},
 		},
 		{
-			name: "expected wait passes the deadline",
-			act: func(gate *admit.Gate[*admit.Fair]) admit.Decision {
-				gate.Arrive(epoch, short(1))
+			name:  "expected wait passes the deadline",
+			slots: 1,
+			act: func(gate door) admit.Decision {
+				arriveMany(gate, epoch, 1, 1, model.Short)
 				gate.Finish(epoch.Add(600*ms), 1)
-				gate.Arrive(epoch.Add(600*ms), short(2))
-				return gate.Arrive(epoch.Add(600*ms), short(3))
+				return arriveMany(gate, epoch.Add(600*ms), 2, 3, model.Short)
 			},
 			// The wait is 600 ms, and 600 ms with twice their deviation of 300 ms follow.
 			want: admit.Decision{Ticket: 3, Action: admit.Refuse, Reason: model.TooLate, RetryAfter: 1400 * ms},
+			fifo: admit.Decision{Ticket: 3, Action: admit.Refuse, Reason: model.TooLate, RetryAfter: 1400 * ms},
+		},
+		{
+			name:  "long work does not fill the queue of short work",
+			slots: 1,
+			act: func(gate door) admit.Decision {
+				arriveMany(gate, epoch, 1, 40, model.Long)
+				return arriveMany(gate, epoch, 41, 41, model.Short)
+			},
+			want: admit.Decision{Ticket: 41, Action: admit.Wait},
+			fifo: admit.Decision{Ticket: 41, Action: admit.Refuse, Reason: model.QueueFull},
 		},
 		{
-			name: "long work of the same customer does not fill the queue of short work",
-			act: func(gate *admit.Gate[*admit.Fair]) admit.Decision {
-				gate.Arrive(epoch, short(1))
-				for id := uint64(2); id < 40; id++ {
-					long := short(id)
-					long.Class = model.Long
-					gate.Arrive(epoch, long)
-				}
-				return gate.Arrive(epoch, short(40))
+			name:  "short work that overruns takes up a slot for long work",
+			slots: 4,
+			act: func(gate door) admit.Decision {
+				arriveMany(gate, epoch, 1, 2, model.Short)
+				gate.Finish(epoch.Add(5*ms), 1)
+				return arriveMany(gate, epoch.Add(51*ms), 3, 3, model.Long)
 			},
-			want: admit.Decision{Ticket: 40, Action: admit.Wait},
+			want: admit.Decision{Ticket: 3, Action: admit.Wait},
+			fifo: admit.Decision{Ticket: 3, Action: admit.Wait},
 		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			gate := admit.New(1, admit.NewFair())
-			gate.SetLimits(epoch, 1, limits.Of(contracts(map[model.Customer]int{"a": 1}), 1))
-			qt.Assert(t, test.act(gate), qt.Equals, test.want)
+			made := limits.Of(contracts(map[model.Customer]int{"a": 1}), test.slots)
+			fair := admit.New(test.slots, admit.NewFair())
+			fair.SetLimits(epoch, test.slots, made)
+			qt.Check(t, test.act(fair), qt.Equals, test.want)
+			fifo := admit.New(test.slots, admit.NewFIFO())
+			fifo.SetLimits(epoch, test.slots, made)
+			qt.Check(t, test.act(fifo), qt.Equals, test.fifo)
 		})
 	}
 }
--- a/core/heap/heap.go
+++ b/core/heap/heap.go
@@ -51,12 +51,14 @@
 	return least.key, least.value, true
 }
 
-// Remove takes out one entry and says whether it was there.
-func (h *Heap[K, V]) Remove(key K) bool {
+// Remove takes out one entry and returns its value, or false when there is none.
+func (h *Heap[K, V]) Remove(key K) (V, bool) {
 	i, found := h.items.index[key]
 	if !found {
-		return false
+		var none V
+		return none, false
 	}
+	value := h.items.entries[i].value
 	last := len(h.items.entries) - 1
 	h.items.Swap(i, last)
 	h.items.entries[last] = entry[K, V]{}
@@ -65,13 +67,7 @@
 	if i < last {
 		heap.Fix(&h.items, i)
 	}
-	return true
-}
-
-// Clear takes out all entries and releases their memory.
-func (h *Heap[K, V]) Clear() {
-	h.items.entries = nil
-	h.items.index = map[K]int{}
+	return value, true
 }
 
 func (t *items[K, V]) Len() int { return len(t.entries) }
