--- a/core/query/route/measure_test.go
+++ b/core/query/route/measure_test.go
@@ -44,6 +44,8 @@
 	{name: "one restarts cold, 70%", load: 0.7, daemons: 5, coldFrom: modelTrouble},
 	{name: "load shifts every 5 ms, 60%", load: 0.6, daemons: 5, shifting: true},
 	{name: "one 10x slower, reports lag 1 s", load: 0.7, daemons: 5, slow: 10, lag: time.Second},
+	{name: "50 daemons, one 10x slower, reports lag 1 s", load: 0.7, daemons: 50, slow: 10, lag: time.Second},
+	{name: "500 daemons, one 10x slower, 70%", load: 0.7, daemons: 500, slow: 10},
 	{name: "one 10x slower, it reports idle", load: 0.7, daemons: 5, slow: 10, lying: true},
 	{name: "one fails fast, 70%", load: 0.7, daemons: 5, failFast: true},
 }
--- a/core/query/route/names.go
+++ b/core/query/route/names.go
@@ -13,7 +13,7 @@
 	reportLifetime  = 500 * time.Millisecond
 	serviceLifetime = 2 * time.Second
 	latencyLifetime = 2 * time.Second
-	othersWeight    = 0.3
+	othersWeight    = 0.1
 	roundTrip       = 3 * time.Millisecond
 	serviceTime     = 10 * time.Millisecond
 	defaultSlots    = 10
