--- a/cftd/peers/fleet_test.go
+++ b/cftd/peers/fleet_test.go
@@ -105,7 +105,8 @@
 	address  model.Address
 	members  []*member
 	sides    map[model.Address]*atomic.Int32
-	calls    map[model.ServiceName][]model.ServiceName
+	// pastMessages and pastBytes count what ended lives have sent.
+	pastMessages, pastBytes atomic.Uint64
 }
 
 func newFleet(t *testing.T, services, perService, domains int) *fleet {
@@ -192,6 +193,8 @@
 
 func (f *fleet) restart(m *member) {
 	m.stop()
+	f.pastMessages.Add(m.network.Traffic.MessagesOut.Load())
+	f.pastBytes.Add(m.network.Traffic.BytesOut.Load())
 	m.self.Incarnation++
 	listener, err := net.Listen("tcp", string(m.self.Peer))
 	qt.Assert(f.t, err, qt.IsNil)
@@ -282,7 +285,7 @@
 func (f *fleet) usage() usage {
 	var times syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &times)
-	u := usage{at: time.Now(), cpu: time.Duration(times.Utime.Nano() + times.Stime.Nano()), reads: f.platform.reads.Load()}
+	u := usage{at: time.Now(), cpu: time.Duration(times.Utime.Nano() + times.Stime.Nano()), reads: f.platform.reads.Load(), messages: f.pastMessages.Load(), bytes: f.pastBytes.Load()}
 	for _, m := range f.members {
 		u.messages += m.network.Traffic.MessagesOut.Load()
 		u.bytes += m.network.Traffic.BytesOut.Load()
--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -58,8 +58,12 @@
 	// end when it turns false again.
 	Draining bool
 
-	self model.Peer
-	view model.Snapshot
+	self  model.Peer
+	view  model.Snapshot
+	built built
+	// listed has the instance lists of the kept services, and notLive those that they call leaving or gone.
+	listed  map[model.UpstreamName]model.Upstream
+	notLive []model.UpstreamName
 }
 
 // New returns the state of a daemon that has learnt nothing yet.
@@ -167,14 +171,9 @@
 	if outcome != config.Applied && outcome != config.Healed {
 		return
 	}
-	upstreams := s.upstreams()
-	s.Members.Published(upstreams)
-	if s.Config.Wanted.Cardinality() == 0 {
-		s.Reader.Fleet = len(upstreams)
-	}
 	s.Gossip.News = true
-	s.renewNotice()
 	s.rebuild()
+	s.renewNotice()
 }
 
 func (s *State) callFailed(now time.Time, upstream model.UpstreamName) {
@@ -204,7 +203,7 @@
 		Incarnation: s.self.Incarnation,
 		Leaving:     true,
 		Stopping:    s.Stopping,
-		Listed:      s.listedSelf().Incarnation,
+		Listed:      s.listed[s.self.Name].Incarnation,
 		Mark:        s.Config.Marks.Entries[s.self.Name].Revision,
 	})
 }
@@ -216,7 +215,7 @@
 	if !notice.Leaving || notice.Incarnation != s.self.Incarnation {
 		return
 	}
-	notice.Listed = max(notice.Listed, s.listedSelf().Incarnation)
+	notice.Listed = max(notice.Listed, s.listed[s.self.Name].Incarnation)
 	s.giveNotice(notice)
 }
 
@@ -227,16 +226,6 @@
 	}
 }
 
-// listedSelf returns the own entry of the instance list, or its zero value.
-func (s *State) listedSelf() model.Upstream {
-	for _, upstream := range s.Config.Services.Entries[s.self.Service].Value.Upstreams {
-		if upstream.Name == s.self.Name {
-			return upstream
-		}
-	}
-	return model.Upstream{}
-}
-
 // upstreams returns the entries of all kept services in a stable order.
 func (s *State) upstreams() []model.Upstream {
 	names := make([]model.ServiceName, 0, len(s.Config.Services.Entries))
--- a/core/command/daemon/faults_test.go
+++ b/core/command/daemon/faults_test.go
@@ -31,7 +31,6 @@
 // faults drives a world through random faults and keeps what must hold.
 type faults struct {
 	*world
-	marks map[model.UpstreamName]model.Mark
 	// left has the upstreams seen leaving by any daemon, with what may take the leaving back.
 	left map[*node]map[model.UpstreamName]seenLeaving
 }
--- a/core/command/daemon/world_test.go
+++ b/core/command/daemon/world_test.go
@@ -340,12 +340,6 @@
 	return true
 }
 
-func (w *world) startAll() {
-	for _, n := range w.nodes {
-		w.start(n, nil, 4)
-	}
-}
-
 func TestFirstConfiguration(t *testing.T) {
 	tests := []struct {
 		name                string
