Test that no answer reaches another request and that nothing is sent twice

A stray answer that arrives after the next request was written stays beyond detection in HTTP/1.1. Requests cancelled at every stage: none that was told not_run arrived.

--- /dev/null
+++ b/cftd/relay/trip_test.go
@@ -0,0 +1,212 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"comfreytack/cftd/relay"
+	"comfreytack/core/model"
+)
+
+const (
+	exchanges = 300
+	idHeader  = "X-Id"
+)
+
+// server counts the requests of each id that reach it, whole or in part.
+type server struct {
+	address model.Address
+	mu      sync.Mutex
+	seen    map[string]int
+}
+
+func startServer(t *testing.T, answer func(conn net.Conn, id string, nth int) bool) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &server{address: model.Address(listener.Addr().String()), seen: map[string]int{}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(conn net.Conn, answer func(conn net.Conn, id string, nth int) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for nth := 1; ; nth++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get(idHeader)
+		s.mu.Lock()
+		s.seen[id]++
+		s.mu.Unlock()
+		_, _ = io.Copy(io.Discard, r.Body)
+		if !answer(conn, id, nth) {
+			return
+		}
+	}
+}
+
+func (s *server) count(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[id]
+}
+
+func trip(ctx context.Context, transport *http.Transport, address model.Address, method, id string) (string, *model.Failure) {
+	header := http.Header{idHeader: {id}, "Idempotency-Key": {id}}
+	request := relay.Request{Address: address, Method: method, Target: &url.URL{Path: "/"}, Header: header, Body: &relay.Body{}}
+	answer, failure := relay.Trip(ctx, transport, request, model.UpstreamDied)
+	if failure != nil {
+		return "", failure
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return "", &model.Failure{Verdict: model.MayHaveRun, Reason: model.Truncated, Cause: err}
+	}
+	return string(body), nil
+}
+
+func ok(body string) string {
+	return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// TestTripsOnSharedConnections sends requests one after another over kept connections to servers that misbehave
+// after an answer. No request may run twice or get another's answer, and not_run must be true.
+func TestTripsOnSharedConnections(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(conn net.Conn, id string, nth int) bool
+	}{
+		{name: "closes after reading the second request", answer: func(conn net.Conn, id string, nth int) bool {
+			if nth == 1 {
+				_, _ = io.WriteString(conn, ok(id))
+			}
+			return nth == 1
+		}},
+		{name: "sends a second answer with the first", answer: func(conn net.Conn, id string, _ int) bool {
+			_, _ = io.WriteString(conn, ok(id)+ok("stray"))
+			return true
+		}},
+		{name: "sends a second answer after one without a body", answer: func(conn net.Conn, _ string, _ int) bool {
+			_, _ = io.WriteString(conn, ok("")+ok("stray"))
+			return true
+		}},
+		{name: "closes after each answer", answer: func(conn net.Conn, id string, _ int) bool {
+			_, _ = io.WriteString(conn, ok(id))
+			return false
+		}},
+	}
+	for _, test := range tests {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(test.name+" "+method, func(t *testing.T) {
+				s := startServer(t, test.answer)
+				transport := relay.NewTransport(1)
+				defer transport.CloseIdleConnections()
+				for i := range exchanges {
+					id := fmt.Sprint(i)
+					body, failure := trip(t.Context(), transport, s.address, method, id)
+					s.check(t, id, body, failure)
+				}
+			})
+		}
+	}
+}
+
+// check looks at what was told of one request. A request that was seen may be counted a little later.
+func (s *server) check(t *testing.T, id, body string, failure *model.Failure) {
+	t.Helper()
+	count := s.count(id)
+	qt.Assert(t, count <= 1, qt.IsTrue, qt.Commentf("request %s ran %d times", id, count))
+	switch {
+	case failure == nil:
+		qt.Assert(t, count, qt.Equals, 1)
+		qt.Assert(t, body == id || body == "", qt.IsTrue, qt.Commentf("request %s got %q", id, body))
+	case failure.Verdict == model.NotRun:
+		qt.Assert(t, count, qt.Equals, 0, qt.Commentf("request %s: %v", id, failure))
+	}
+}
+
+// TestCancelledTrips gives requests up at every stage. Whatever was told not_run must never arrive.
+func TestCancelledTrips(t *testing.T) {
+	s := startServer(t, func(conn net.Conn, id string, _ int) bool {
+		_, err := io.WriteString(conn, ok(id))
+		return err == nil
+	})
+	transport := relay.NewTransport(4)
+	defer transport.CloseIdleConnections()
+	failures := make([]*model.Failure, exchanges)
+	for i := range exchanges {
+		ctx, cancel := context.WithCancel(t.Context())
+		timer := time.AfterFunc(time.Duration(i)*time.Microsecond, cancel)
+		_, failures[i] = trip(ctx, transport, s.address, http.MethodPost, fmt.Sprint(i))
+		timer.Stop()
+		cancel()
+	}
+	// A last exchange on each connection would come after what was still on its way.
+	time.Sleep(20 * time.Millisecond)
+	verdicts := map[model.Verdict]int{}
+	for i, failure := range failures {
+		if failure == nil {
+			continue
+		}
+		verdicts[failure.Verdict]++
+		if failure.Verdict == model.NotRun {
+			qt.Assert(t, s.count(fmt.Sprint(i)), qt.Equals, 0)
+		}
+	}
+	t.Log(verdicts)
+}
+
+// TestBodyIsSentOnce gives a streamed body to two attempts.
+func TestBodyIsSentOnce(t *testing.T) {
+	tests := []struct {
+		name      string
+		readFirst bool
+		wantAgain bool
+	}{
+		{name: "the first attempt read nothing", wantAgain: true},
+		{name: "the first attempt read a part", readFirst: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			body := &relay.Body{Small: []byte("small "), Rest: strings.NewReader("rest"), Length: -1}
+			first := body.Open()
+			if test.readFirst {
+				_, err := io.ReadAll(first)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			qt.Assert(t, body.Again(), qt.Equals, test.wantAgain)
+			text, err := io.ReadAll(body.Open())
+			if test.wantAgain {
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, string(text), qt.Equals, "small rest")
+				_, err = io.ReadAll(first)
+			}
+			qt.Assert(t, err, qt.IsNotNil)
+		})
+	}
+}
