--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -14,6 +14,7 @@
 		return nil
 	}
 	s.Reader.Heard(now, message.Reads)
+	s.Settings.Poison.Merge(now, message.Crashes)
 	news := s.Leaves.Merge(message.Leaves)
 	alive := s.Leaves.Alive(message.From)
 	aliveSelf := s.Leaves.Alive(s.self)
@@ -21,7 +22,8 @@
 		s.Gossip.News = true
 		s.rebuild()
 	}
-	answered := s.takeAnswer(message)
+	s.takeValues(message)
+	answered := message.Answers != 0
 	caughtUp := s.Config.Complete >= message.Digest.Revision
 	s.Start.heard(message.From.Address, message.Digest, answered && caughtUp)
 	if message.Digest.Ready && answered && caughtUp {
@@ -30,19 +32,16 @@
 	return append(s.serve(now, message), s.compare(now, message)...)
 }
 
-// takeAnswer applies the values in a message and tells whether the message was an answer.
-func (s *State) takeAnswer(message gossip.Message) bool {
-	if message.Delta == nil && message.Copy == nil {
-		return false
-	}
-	s.Gossip.Answered(message.From.Address)
+// takeValues applies the values in a message.
+func (s *State) takeValues(message gossip.Message) {
 	if message.Delta != nil {
+		s.Gossip.Answered(message.From.Address)
 		s.outcome(s.Config.Apply(*message.Delta))
 	}
 	if message.Copy != nil {
+		s.Gossip.Answered(message.From.Address)
 		s.outcome(s.Config.Merge(*message.Copy))
 	}
-	return true
 }
 
 // serve answers what the message asks for.
@@ -54,6 +53,9 @@
 	answer := s.message(now, to)
 	answer.Answers = message.Want.Nonce
 	answer.Leaves = s.Leaves.All()
+	if message.Want.DigestOnly {
+		return []Effect{SendPeer{To: to, Message: answer}}
+	}
 	if delta, known := s.Config.Since(message.Want.After, gossip.MaxDeltaBytes); known && !message.Want.Whole {
 		answer.Delta = &delta
 		return []Effect{SendPeer{To: to, Message: answer}}
@@ -104,10 +106,11 @@
 // message returns what every message to the given daemon carries.
 func (s *State) message(now time.Time, to model.Address) gossip.Message {
 	return gossip.Message{
-		From:   s.self,
-		Digest: s.digest(),
-		Reads:  s.Reader.News(now, s.Members.DomainOf(to)),
-		Leaves: s.Leaves.Pass(s.Settings.Random.Int()),
+		From:    s.self,
+		Digest:  s.digest(),
+		Reads:   s.Reader.News(now, s.Members.DomainOf(to)),
+		Leaves:  s.Leaves.Pass(s.Settings.Random.Int()),
+		Crashes: s.Settings.Poison.Gossip(now),
 	}
 }
 
@@ -117,7 +120,7 @@
 		Contracts: s.Config.Contracts.Hash,
 		Scope:     s.Config.Scope(),
 		Services:  s.Config.Services.Hash,
-		Ready:     s.Start.Ready,
+		Ready:     s.Start.Ready && !s.Pause.Suspect,
 	}
 }
 
--- a/core/command/gossip/gossip.go
+++ b/core/command/gossip/gossip.go
@@ -17,6 +17,7 @@
 
 	"comfreytack/core/command/config"
 	"comfreytack/core/command/leave"
+	"comfreytack/core/command/poison"
 	"comfreytack/core/command/reader"
 	"comfreytack/core/model"
 )
@@ -51,7 +52,7 @@
 	// latter can be compared where the former is the same.
 	Scope    uint64 `json:"scope"`
 	Services uint64 `json:"services"`
-	// Ready says that the daemon trusts what it has.
+	// Ready says that the daemon trusts what it has: it has started and not just woken from a pause.
 	Ready bool `json:"ready"`
 }
 
@@ -63,22 +64,10 @@
 	Services []model.ServiceName `json:"services,omitempty"`
 	// Whole asks for a whole copy although the changes may be at hand.
 	Whole bool `json:"whole,omitempty"`
-	// Nonce is repeated in the answer; zero when the sender does not care.
-	Nonce uint64 `json:"nonce,omitempty"`
-}
-
-// Suspect is a request that was in flight when an upstream died.
-type Suspect struct {
-	Fingerprint model.Fingerprint  `json:"fingerprint"`
-	Upstream    model.UpstreamName `json:"upstream"`
-	Incarnation model.Incarnation  `json:"incarnation"`
-	AgeMs       int64              `json:"age_ms"`
-}
-
-// Quarantine is a request that no upstream runs for a while.
-type Quarantine struct {
-	Fingerprint model.Fingerprint `json:"fingerprint"`
-	LeftMs      int64             `json:"left_ms"`
+	// DigestOnly asks for no values yet: the sender wants to know first who has what.
+	DigestOnly bool `json:"digest_only,omitempty"`
+	// Nonce is repeated in the answer; never zero.
+	Nonce uint64 `json:"nonce"`
 }
 
 // Message is all that one daemon sends to another. It expects no reply; answers are messages too.
@@ -89,18 +78,17 @@
 	Digest Digest `json:"digest"`
 	// Want asks the receiver for what the sender lacks.
 	Want *Want `json:"want,omitempty"`
-	// Answers is the nonce of the request that this message answers; zero when there is none.
+	// Answers is the nonce of the request that this message answers; zero when it answers none.
 	Answers uint64 `json:"answers,omitempty"`
-	// Delta or Copy answers a Want; at most one is present.
+	// Delta or Copy has the values of an answer; at most one is present.
 	Delta *model.Delta `json:"delta,omitempty"`
 	Copy  *config.Copy `json:"copy,omitempty"`
 	// Reads is news of reads of the platform.
 	Reads []reader.Read `json:"reads,omitempty"`
 	// Leaves is news of upstreams that leave.
 	Leaves []leave.Notice `json:"leaves,omitempty"`
-	// Suspects and Quarantines is news of requests that crash upstreams.
-	Suspects    []Suspect    `json:"suspects,omitempty"`
-	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// Crashes is evidence of requests that crash upstreams.
+	Crashes []poison.Evidence `json:"crashes,omitempty"`
 }
 
 // State is when this daemon next speaks and what it waits for.
