Eject an upstream that refuses a connection, not one whose callers hurry

Cause: after a kill, holds at the home beside the dead upstream spent their retry budget on it, because five failures in a row were needed although one refused connection tells all; short deadlines that a caller chose counted as failures of the upstream, so one hurried customer could eject it for all; a gate whose leaving was taken back stayed out of the candidates for good. Chosen: load.Unreachable ejects at once; a passed deadline only tells of a latency; leaving follows the newest report. Tests: three rows each fail without their change. The row that wanted leaving to stick is replaced by one that wants an older report ignored and one that wants the taken-back leaving seen.

--- a/core/command/load/enums_string.go
+++ b/core/command/load/enums_string.go
@@ -11,12 +11,13 @@
 	_ = x[Answered-0]
 	_ = x[Refused-1]
 	_ = x[Failed-2]
-	_ = x[Unrelated-3]
+	_ = x[Unreachable-3]
+	_ = x[Unrelated-4]
 }
 
-const _Result_name = "answeredrefusedfailedunrelated"
+const _Result_name = "answeredrefusedfailedunreachableunrelated"
 
-var _Result_index = [...]uint8{0, 8, 15, 21, 30}
+var _Result_index = [...]uint8{0, 8, 15, 21, 32, 41}
 
 func (i Result) String() string {
 	idx := int(i) - 0
--- a/core/command/load/life.go
+++ b/core/command/load/life.go
@@ -18,9 +18,11 @@
 	Answered Result = iota // answered
 	// Refused means that the gate refused; it says that the upstream is loaded, not that it is ill.
 	Refused // refused
-	// Failed means that the upstream died, broke off, timed out or answered with an error of its own.
+	// Failed means that the upstream died, broke off or answered with an error of its own.
 	Failed // failed
-	// Unrelated means that the call ended for a reason of the caller's.
+	// Unreachable means that the upstream or its gate took no connection.
+	Unreachable // unreachable
+	// Unrelated means that the call ended for a reason of the caller's, its deadline among them.
 	Unrelated // unrelated
 )
 
@@ -40,9 +42,11 @@
 	switch reason {
 	case model.NoReason:
 		return Answered
-	case model.UpstreamDown, model.UpstreamDied, model.GateLost, model.Truncated, model.DeadlinePassed:
+	case model.UpstreamDown:
+		return Unreachable
+	case model.UpstreamDied, model.GateLost, model.Truncated:
 		return Failed
-	case model.CallerGone, model.BadRequest, model.NoContract, model.Quarantined,
+	case model.CallerGone, model.DeadlinePassed, model.BadRequest, model.NoContract, model.Quarantined,
 		model.KeyUnknown, model.KeyExpired, model.KeyInUse, model.RetriesSpent:
 		return Unrelated
 	default:
@@ -104,7 +108,9 @@
 	case Answered:
 		l.answered(now, outcome, settings)
 	case Failed:
-		l.failed(now, settings)
+		l.failed(now, 1, settings)
+	case Unreachable:
+		l.failed(now, settings.FailuresInRow, settings)
 	case Unrelated:
 		l.abandoned(now, outcome)
 	case Refused:
@@ -138,11 +144,12 @@
 	l.latencyAt = now
 }
 
-func (l *life) failed(now time.Time, settings *Settings) {
+// failed counts one failed call, which may weigh as much as several in a row.
+func (l *life) failed(now time.Time, weight int, settings *Settings) {
 	failing := l.failingNow(now)
 	l.failing = failing + failingWeight*(1-failing)
 	l.failingAt = now
-	l.failuresInRow++
+	l.failuresInRow += weight
 	if l.failuresInRow < settings.FailuresInRow || now.Before(l.ejectedUntil) {
 		return
 	}
@@ -166,7 +173,6 @@
 	if madeAt.Before(l.reportAt) {
 		return
 	}
-	report.Leaving = report.Leaving || l.report.Leaving
 	l.report = report
 	l.reportAt = madeAt
 	l.inFlightAtReport = l.inFlight
--- a/core/command/load/load_test.go
+++ b/core/command/load/load_test.go
@@ -151,11 +151,36 @@
 		},
 		{
 			name: "a gate that is leaving is no candidate",
+			act: func(b *load.Book) {
+				b.Reported(start.Add(1), model.GateReport{Upstream: name, Incarnation: 1, Leaving: true})
+				b.Reported(start, model.GateReport{Upstream: name, Incarnation: 1})
+			},
+			check: func(c *qt.C, got route.Candidate) { c.Assert(got.Upstream.Name, qt.Equals, model.UpstreamName("")) },
+		},
+		{
+			name: "a gate whose leaving was taken back is a candidate again",
 			act: func(b *load.Book) {
 				b.Reported(start, model.GateReport{Upstream: name, Incarnation: 1, Leaving: true})
 				b.Reported(start.Add(1), model.GateReport{Upstream: name, Incarnation: 1})
 			},
-			check: func(c *qt.C, got route.Candidate) { c.Assert(got.Upstream.Name, qt.Equals, model.UpstreamName("")) },
+			check: func(c *qt.C, got route.Candidate) { c.Assert(got.Upstream.Name, qt.Equals, name) },
+		},
+		{
+			name: "one refused connection ejects",
+			act:  func(b *load.Book) { repeat(b, 1, load.Outcome{Result: load.ResultOf(model.UpstreamDown)}) },
+			check: func(c *qt.C, got route.Candidate) {
+				c.Assert(got.EjectedUntil, qt.Equals, start.Add(500*time.Millisecond))
+			},
+		},
+		{
+			name: "deadlines that callers chose do not eject",
+			act: func(b *load.Book) {
+				repeat(b, 9, load.Outcome{Result: load.ResultOf(model.DeadlinePassed), Latency: time.Millisecond})
+			},
+			check: func(c *qt.C, got route.Candidate) {
+				c.Assert(got.EjectedUntil.IsZero(), qt.IsTrue)
+				c.Assert(got.Failing, qt.Equals, 0.0)
+			},
 		},
 	}
 	for _, test := range tests {
