--- a/cftd/relay/trip_test.go
+++ b/cftd/relay/trip_test.go
@@ -124,7 +124,7 @@
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
 			t.Run(test.name+" "+method, func(t *testing.T) {
 				s := startServer(t, test.answer)
-				transport := relay.NewTransport(1)
+				transport := relay.NewTransport(1, time.Second)
 				defer transport.CloseIdleConnections()
 				for i := range exchanges {
 					id := fmt.Sprint(i)
@@ -156,7 +156,7 @@
 		_, err := io.WriteString(conn, ok(id))
 		return err == nil
 	})
-	transport := relay.NewTransport(4)
+	transport := relay.NewTransport(4, time.Second)
 	defer transport.CloseIdleConnections()
 	failures := make([]*model.Failure, exchanges)
 	for i := range exchanges {
--- a/cftd/start/stream_test.go
+++ b/cftd/start/stream_test.go
@@ -93,7 +93,7 @@
 			largeBody, strings.Repeat("x", 100_000))
 		answer, body, err := exchange(t, settings, http.MethodPost, request)
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, answer.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+		qt.Assert(t, answer.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge, qt.Commentf("%s", body))
 		qt.Assert(t, body, qt.Equals, "big")
 	}
 }
