--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -22,7 +22,7 @@
 	// long counts the running tickets of class Long.
 	long int
 	// queued has the waiting tickets by deadline, and queuedShort counts those of class Short.
-	queued      *heap.Heap[uint64, Ticket]
+	queued      *heap.Heap[uint64, queued]
 	queuedShort int
 	// shorts has the running tickets of class Short by their start.
 	shorts *heap.Heap[uint64, time.Time]
@@ -30,6 +30,11 @@
 	times [2]estimate
 }
 
+type queued struct {
+	deadline time.Time
+	class    model.Class
+}
+
 type held struct {
 	ticket    Ticket
 	startedAt time.Time
@@ -131,7 +136,7 @@
 // NextDeadline returns the first deadline of the waiting tickets, or false when none waits.
 func (g *Gate[D]) NextDeadline() (time.Time, bool) {
 	_, first, found := g.queued.Least()
-	return first.Deadline, found
+	return first.deadline, found
 }
 
 // Expire refuses the waiting tickets whose deadline has come.
@@ -139,12 +144,12 @@
 	var decisions []Decision
 	for {
 		id, first, found := g.queued.Least()
-		if !found || first.Deadline.After(now) {
+		if !found || first.deadline.After(now) {
 			return decisions
 		}
 		g.dequeued(id)
 		g.discipline.Remove(id)
-		decisions = append(decisions, refusal(first, model.TooLate, 0))
+		decisions = append(decisions, refusal(Ticket{ID: id}, model.TooLate, 0))
 	}
 }
 
@@ -266,21 +271,21 @@
 }
 
 func (g *Gate[D]) enqueued(ticket Ticket) {
-	g.queued.Set(ticket.ID, ticket)
+	g.queued.Set(ticket.ID, queued{deadline: ticket.Deadline, class: ticket.Class})
 	if ticket.Class == model.Short {
 		g.queuedShort++
 	}
 }
 
 func (g *Gate[D]) dequeued(id uint64) bool {
-	ticket, found := g.queued.Remove(id)
-	if found && ticket.Class == model.Short {
+	waiting, found := g.queued.Remove(id)
+	if found && waiting.class == model.Short {
 		g.queuedShort--
 	}
 	return found
 }
 
-func sooner(a, b Ticket) bool { return a.Deadline.Before(b.Deadline) }
+func sooner(a, b queued) bool { return a.deadline.Before(b.deadline) }
 
 // limitsOf returns the customer's limits with its shares scaled to the slots that the gate has now.
 func (g *Gate[D]) limitsOf(ticket Ticket) (model.Limits, bool) {
--- a/core/command/admit/lane.go
+++ b/core/command/admit/lane.go
@@ -15,10 +15,15 @@
 	minCharge = 100 * time.Microsecond
 )
 
+// flows orders flows by tag.
+type flows = heap.Heap[*flow, *flow]
+
 // flow is the work of one customer in one lane.
 type flow struct {
 	customer model.Customer
 	lane     *lane
+	// among is the heap of the lane that the flow stands in, or nil.
+	among *flows
 	// weight is at least 1.
 	weight float64
 	// guaranteed is how many whole slots the flow may claim before others; zero in lanes of long work.
@@ -41,9 +46,9 @@
 	flows map[model.Customer]*flow
 	// reserved has the waiting flows below their guarantee and borrowing the other waiting ones, least
 	// tag first; indebted has the flows that neither wait nor run and owe.
-	reserved  *heap.Heap[model.Customer, *flow]
-	borrowing *heap.Heap[model.Customer, *flow]
-	indebted  *heap.Heap[model.Customer, *flow]
+	reserved  *flows
+	borrowing *flows
+	indebted  *flows
 	// virtual never falls while the lane has a flow; no waiting flow's tag is below it.
 	virtual float64
 	// weight sums the weights of the waiting flows, and waiting counts their tickets.
@@ -55,9 +60,9 @@
 	return &lane{
 		class:     class,
 		flows:     map[model.Customer]*flow{},
-		reserved:  heap.New[model.Customer](before),
-		borrowing: heap.New[model.Customer](before),
-		indebted:  heap.New[model.Customer](before),
+		reserved:  heap.New[*flow](before),
+		borrowing: heap.New[*flow](before),
+		indebted:  heap.New[*flow](before),
 	}
 }
 
@@ -159,7 +164,7 @@
 
 // advance moves the virtual time to the tag of a ticket that starts, but never past a waiting flow.
 func (l *lane) advance(tag float64) {
-	for _, waiting := range []*heap.Heap[model.Customer, *flow]{l.reserved, l.borrowing} {
+	for _, waiting := range []*flows{l.reserved, l.borrowing} {
 		if _, first, found := waiting.Least(); found {
 			tag = min(tag, first.tag)
 		}
@@ -169,12 +174,11 @@
 	}
 	l.virtual = tag
 	for {
-		customer, first, found := l.indebted.Least()
+		first, _, found := l.indebted.Least()
 		if !found || first.tag > l.virtual {
 			return
 		}
-		l.indebted.Remove(customer)
-		delete(l.flows, customer)
+		l.drop(first)
 	}
 }
 
@@ -186,7 +190,9 @@
 		owner = &flow{customer: customer, lane: l, weight: 1}
 		l.flows[customer] = owner
 	}
-	l.indebted.Remove(customer)
+	if owner.among == l.indebted {
+		l.move(owner, nil)
+	}
 	owner.setLimits(limits)
 	owner.tag = max(owner.tag, l.virtual)
 	return owner
@@ -195,33 +201,48 @@
 // place puts a flow into the heap that its state asks for, and drops it when nothing is left to know of it.
 func (l *lane) place(owner *flow) {
 	owner.tag = max(owner.tag, l.virtual)
-	l.reserved.Remove(owner.customer)
-	l.borrowing.Remove(owner.customer)
-	l.indebted.Remove(owner.customer)
 	switch {
 	case len(owner.queue) > 0 && owner.running < owner.guaranteed:
-		l.reserved.Set(owner.customer, owner)
+		l.move(owner, l.reserved)
 	case len(owner.queue) > 0:
-		l.borrowing.Set(owner.customer, owner)
-	case owner.running == 0 && l.waiting > 0 && owner.tag > l.virtual:
-		l.indebted.Set(owner.customer, owner)
-	case owner.running == 0:
-		delete(l.flows, owner.customer)
+		l.move(owner, l.borrowing)
+	case owner.running > 0:
+		l.move(owner, nil)
+	case l.waiting > 0 && owner.tag > l.virtual:
+		l.move(owner, l.indebted)
+	default:
+		l.drop(owner)
 	}
 	if l.waiting == 0 {
 		l.forgive()
 	}
 }
 
+// move takes a flow to its place in a heap, or out of all of them.
+func (l *lane) move(owner *flow, among *flows) {
+	if owner.among != nil && owner.among != among {
+		owner.among.Remove(owner)
+	}
+	owner.among = among
+	if among != nil {
+		among.Set(owner, owner)
+	}
+}
+
+// drop forgets a flow.
+func (l *lane) drop(owner *flow) {
+	l.move(owner, nil)
+	delete(l.flows, owner.customer)
+}
+
 // forgive drops all debts once the backlog is over, since then nobody has to wait for their sake.
 func (l *lane) forgive() {
 	for {
-		customer, _, found := l.indebted.Least()
+		first, _, found := l.indebted.Least()
 		if !found {
 			break
 		}
-		l.indebted.Remove(customer)
-		delete(l.flows, customer)
+		l.drop(first)
 	}
 	if len(l.flows) == 0 {
 		l.virtual = 0
--- a/core/heap/heap.go
+++ b/core/heap/heap.go
@@ -3,6 +3,9 @@
 
 import "container/heap"
 
+// keptCapacity is how many entries an empty heap keeps memory for.
+const keptCapacity = 1024
+
 // Heap holds values by key and finds the least one. Its operations take time that grows with the
 // logarithm of its length.
 type Heap[K comparable, V any] struct {
@@ -67,6 +70,10 @@
 	if i < last {
 		heap.Fix(&h.items, i)
 	}
+	if last == 0 && cap(h.items.entries) > keptCapacity {
+		h.items.entries = nil
+		h.items.index = map[K]int{}
+	}
 	return value, true
 }
 
