Learn that a route is long while its first requests run

An unnamed long route was learnt when its first run ended; until then its runs took any slot. Overruns while no later short work ends are not told, since an upstream that stands still would make every route long.

API: gate.TakeOverruns after Arrive and Finish, book.Overran for each; a request that Overran was told of is not given to Ran.

--- a/core/command/admit/crest_test.go
+++ b/core/command/admit/crest_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"comfreytack/core/command/admit"
+	"comfreytack/core/command/class"
 	"comfreytack/core/model"
 	"comfreytack/core/query/limits"
 )
@@ -24,13 +25,13 @@
 // offered returns short work of a customer at the given share of the gate's capacity.
 func offered(random *rand.Rand, customer model.Customer, load float64) []*job {
 	gap := time.Duration(float64(crestService) / slots / load)
-	like := job{customer: customer, service: crestService, deadline: crestDeadline}
+	like := job{customer: customer, path: "/stock", service: crestService, deadline: crestDeadline}
 	return stream(random, 0, crestSpan, gap, like)
 }
 
 // settlements returns enough long work to fill the slots that it may have.
-func settlements(random *rand.Rand) []*job {
-	like := job{customer: "d", class: model.Long, service: 300 * ms, deadline: 10 * time.Second}
+func settlements(random *rand.Rand, class model.Class, path string) []*job {
+	like := job{customer: "d", class: class, path: path, service: 300 * ms, deadline: 10 * time.Second}
 	return stream(random, 0, crestSpan, 50*ms, like)
 }
 
@@ -73,7 +74,15 @@
 	{
 		name: "short work beside long",
 		jobs: func(random *rand.Rand) []*job {
-			return join(offered(random, "a", 0.25), offered(random, "b", 0.25), settlements(random))
+			return join(offered(random, "a", 0.25), offered(random, "b", 0.25), settlements(random, model.Long, ""))
+		},
+		judged: []model.Customer{"a", "b"},
+		holds:  func(judged outcome, _ float64) bool { return judged.p99 <= 12*ms },
+	},
+	{
+		name: "short work beside long, class learnt",
+		jobs: func(random *rand.Rand) []*job {
+			return join(offered(random, "a", 0.25), offered(random, "b", 0.25), settlements(random, model.Short, "/settle"))
 		},
 		judged: []model.Customer{"a", "b"},
 		holds:  func(judged outcome, _ float64) bool { return judged.p99 <= 12*ms },
@@ -93,7 +102,20 @@
 	}
 	gate := admit.New(slots, discipline)
 	gate.SetLimits(epoch, slots, made)
-	newReplay(gate, jobs).run()
+	r := newReplay(gate, jobs)
+	book := class.New(len(made))
+	r.arriving = func(j *job) {
+		if j.path != "" {
+			j.class = book.Of(model.Service{}, "POST", j.path)
+		}
+	}
+	r.overran = func(j *job) { book.Overran(model.Service{}, "POST", j.path) }
+	r.finished = func(j *job) {
+		if j.path != "" && !j.overrun {
+			book.Ran(model.Service{}, "POST", j.path, j.ended-j.started, gate.ShortService())
+		}
+	}
+	r.run()
 	used := time.Duration(0)
 	judged := jobs[:0:0]
 	for _, j := range jobs {
@@ -119,7 +141,7 @@
 		{
 			name:   "fifo",
 			run:    func(c crest, seed uint64) (outcome, float64) { return runCrest(c, seed, admit.NewFIFO(), true) },
-			broken: []string{crests[0].name, crests[3].name},
+			broken: []string{crests[0].name, crests[3].name, crests[4].name},
 		},
 	}
 	var table strings.Builder
--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -26,8 +26,12 @@
 	queuedShort int
 	// shorts has the running tickets of class Short by their start.
 	shorts *heap.Heap[uint64, time.Time]
+	// overruns has the tickets that TakeOverruns returns next; at most one for each slot.
+	overruns []uint64
+	// turnover is the latest start of a short ticket that has ended by itself.
+	turnover time.Time
 	// times has the measured service times by class.
-	times [2]estimate
+	times [classes]estimate
 }
 
 type queued struct {
@@ -40,8 +44,6 @@
 	startedAt time.Time
 	// abandoned tickets do not end by themselves; how long they run says nothing of a service time.
 	abandoned bool
-	// overrun tickets started as Short.
-	overrun bool
 }
 
 // New returns a gate with free slots and no limits.
@@ -133,6 +135,15 @@
 	return running
 }
 
+// TakeOverruns returns the tickets that started as short and turned out to be long since the last call, so
+// that their routes' class can be learnt before they end. It leaves out those of a time in which no later
+// short work ended: then the upstream stands still and says nothing of a route.
+func (g *Gate[D]) TakeOverruns() []uint64 {
+	taken := g.overruns
+	g.overruns = nil
+	return taken
+}
+
 // NextDeadline returns the first deadline of the waiting tickets, or false when none waits.
 func (g *Gate[D]) NextDeadline() (time.Time, bool) {
 	_, first, found := g.queued.Least()
@@ -240,17 +251,23 @@
 		g.shorts.Remove(id)
 		h := g.running[id]
 		h.ticket.Class = model.Long
-		h.overrun = true
 		g.long++
+		if startedAt.Before(g.turnover) && len(g.overruns) < g.Slots {
+			g.overruns = append(g.overruns, id)
+		}
 		g.times[model.Short].add(limit)
 		limits, _ := g.limitsOf(h.ticket)
 		g.discipline.Reclassed(h.ticket, limits, g.times[model.Long].average())
 	}
 }
 
-func (g *Gate[D]) measure(h *held, time time.Duration) {
-	if !h.abandoned {
-		g.times[h.ticket.Class].add(time)
+func (g *Gate[D]) measure(h *held, taken time.Duration) {
+	if h.abandoned {
+		return
+	}
+	g.times[h.ticket.Class].add(taken)
+	if h.ticket.Class == model.Short && h.startedAt.After(g.turnover) {
+		g.turnover = h.startedAt
 	}
 }
 
--- a/core/command/admit/gate_test.go
+++ b/core/command/admit/gate_test.go
@@ -262,3 +262,31 @@
 		})
 	}
 }
+
+func TestOverruns(t *testing.T) {
+	tests := []struct {
+		name string
+		// later is when a fourth ticket, started at 6 ms, finishes; zero for never.
+		later time.Duration
+		want  []uint64
+	}{
+		{name: "later short work ended", later: 10 * ms, want: []uint64{2, 3}},
+		{name: "the upstream stands still", want: nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			gate := gateOf(admit.NewFair(), map[model.Customer]int{"a": 1})
+			arriveMany(gate, epoch, 1, 3, model.Short)
+			gate.Finish(epoch.Add(5*ms), 1)
+			arriveMany(gate, epoch.Add(6*ms), 4, 4, model.Short)
+			if test.later > 0 {
+				gate.Finish(epoch.Add(test.later), 4)
+			}
+			arriveMany(gate, epoch.Add(60*ms), 5, 5, model.Short)
+			got := gate.TakeOverruns()
+			slices.Sort(got)
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+			qt.Assert(t, gate.TakeOverruns(), qt.HasLen, 0)
+		})
+	}
+}
--- a/core/command/admit/replay_test.go
+++ b/core/command/admit/replay_test.go
@@ -37,6 +37,8 @@
 	customer model.Customer
 	tier     model.Tier
 	class    model.Class
+	// path has its class learnt when it is not empty; class is then what was known on arrival.
+	path string
 	// service is how long the job runs on an upstream of full speed.
 	service time.Duration
 	// deadline counts from the arrival.
@@ -46,6 +48,7 @@
 	started  time.Duration
 	ended    time.Duration
 	left     float64
+	overrun  bool
 }
 
 func (j *job) ran() bool { return j.ended > 0 }
@@ -59,7 +62,10 @@
 	// speed is the upstream's speed for each of n jobs in flight; it changes only at the times in edges.
 	speed func(now time.Duration, n int) float64
 	edges []time.Duration
-	// finished is called after each job that ended.
+	// arriving is called before each arrival, overran when a short job turned out to be long and finished
+	// after each job that ended.
+	arriving func(j *job)
+	overran  func(j *job)
 	finished func(j *job)
 
 	// logging fills log with one line for each event and each decision.
@@ -76,6 +82,8 @@
 		gate:     gate,
 		jobs:     jobs,
 		speed:    func(time.Duration, int) float64 { return 1 },
+		arriving: func(*job) {},
+		overran:  func(*job) {},
 		finished: func(*job) {},
 	}
 }
@@ -119,6 +127,7 @@
 func (r *replay[D]) arrive(id uint64) {
 	j := r.job(id)
 	j.left = j.service.Seconds()
+	r.arriving(j)
 	r.note("arrive %d %s %s %s", id, j.customer, j.tier, j.class)
 	r.apply([]admit.Decision{r.gate.Arrive(r.time(), r.ticket(id))})
 }
@@ -145,6 +154,10 @@
 }
 
 func (r *replay[D]) apply(decisions []admit.Decision) {
+	for _, id := range r.gate.TakeOverruns() {
+		r.job(id).overrun = true
+		r.overran(r.job(id))
+	}
 	for _, d := range decisions {
 		j := r.job(d.Ticket)
 		j.decision = d
--- a/core/command/class/class.go
+++ b/core/command/class/class.go
@@ -63,9 +63,22 @@
 }
 
 // Ran tells that a request held a slot for the given time while short work took the given mean. Tell only
-// of runs that ended by themselves. A route that stays short is remembered too, as it may run long later.
+// of runs that ended by themselves and that Overran was not told of. A route that stays short is remembered
+// too, as it may run long later.
 func (b *Book) Ran(service model.Service, method, path string, held, mean time.Duration) {
-	if _, found := Named(service, method, path); found || mean <= 0 {
+	if mean > 0 {
+		b.learn(service, method, path, min(largestRatio, float64(held)/float64(mean)))
+	}
+}
+
+// Overran tells that a request that started as short turned out to be long and still runs. It counts as the
+// longest run, since by the time that its end is known many more may have started.
+func (b *Book) Overran(service model.Service, method, path string) {
+	b.learn(service, method, path, largestRatio)
+}
+
+func (b *Book) learn(service model.Service, method, path string, ratio float64) {
+	if _, found := Named(service, method, path); found {
 		return
 	}
 	route := routeOf(method, path)
@@ -73,7 +86,6 @@
 	if !found {
 		known.Ratio = 1
 	}
-	ratio := min(largestRatio, float64(held)/float64(mean))
 	known.Ratio += smoothing * (ratio - known.Ratio)
 	switch {
 	case known.Ratio >= longRatio:
