--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -22,12 +22,21 @@
 	// long counts the running tickets of class Long.
 	long int
 	// queued has the waiting tickets by deadline, and queuedShort counts those of class Short.
-	queued      *heap.Heap[uint64, Ticket]
+	queued      *heap.Heap[uint64, queued]
 	queuedShort int
 	// shorts has the running tickets of class Short by their start.
 	shorts *heap.Heap[uint64, time.Time]
+	// overruns has the tickets that TakeOverruns returns next; at most one for each slot.
+	overruns []uint64
+	// turnover is the latest start of a short ticket that has ended by itself.
+	turnover time.Time
 	// times has the measured service times by class.
-	times [2]estimate
+	times [classes]estimate
+}
+
+type queued struct {
+	deadline time.Time
+	class    model.Class
 }
 
 type held struct {
@@ -35,8 +44,6 @@
 	startedAt time.Time
 	// abandoned tickets do not end by themselves; how long they run says nothing of a service time.
 	abandoned bool
-	// overrun tickets started as Short.
-	overrun bool
 }
 
 // New returns a gate with free slots and no limits.
@@ -128,10 +135,19 @@
 	return running
 }
 
+// TakeOverruns returns the tickets that started as short and turned out to be long since the last call, so
+// that their routes' class can be learnt before they end. It leaves out those of a time in which no later
+// short work ended: then the upstream stands still and says nothing of a route.
+func (g *Gate[D]) TakeOverruns() []uint64 {
+	taken := g.overruns
+	g.overruns = nil
+	return taken
+}
+
 // NextDeadline returns the first deadline of the waiting tickets, or false when none waits.
 func (g *Gate[D]) NextDeadline() (time.Time, bool) {
 	_, first, found := g.queued.Least()
-	return first.Deadline, found
+	return first.deadline, found
 }
 
 // Expire refuses the waiting tickets whose deadline has come.
@@ -139,12 +155,12 @@
 	var decisions []Decision
 	for {
 		id, first, found := g.queued.Least()
-		if !found || first.Deadline.After(now) {
+		if !found || first.deadline.After(now) {
 			return decisions
 		}
 		g.dequeued(id)
 		g.discipline.Remove(id)
-		decisions = append(decisions, refusal(first, model.TooLate, 0))
+		decisions = append(decisions, refusal(Ticket{ID: id}, model.TooLate, 0))
 	}
 }
 
@@ -235,17 +251,23 @@
 		g.shorts.Remove(id)
 		h := g.running[id]
 		h.ticket.Class = model.Long
-		h.overrun = true
 		g.long++
+		if startedAt.Before(g.turnover) && len(g.overruns) < g.Slots {
+			g.overruns = append(g.overruns, id)
+		}
 		g.times[model.Short].add(limit)
 		limits, _ := g.limitsOf(h.ticket)
 		g.discipline.Reclassed(h.ticket, limits, g.times[model.Long].average())
 	}
 }
 
-func (g *Gate[D]) measure(h *held, time time.Duration) {
-	if !h.abandoned {
-		g.times[h.ticket.Class].add(time)
+func (g *Gate[D]) measure(h *held, taken time.Duration) {
+	if h.abandoned {
+		return
+	}
+	g.times[h.ticket.Class].add(taken)
+	if h.ticket.Class == model.Short && h.startedAt.After(g.turnover) {
+		g.turnover = h.startedAt
 	}
 }
 
@@ -266,21 +288,21 @@
 }
 
 func (g *Gate[D]) enqueued(ticket Ticket) {
-	g.queued.Set(ticket.ID, ticket)
+	g.queued.Set(ticket.ID, queued{deadline: ticket.Deadline, class: ticket.Class})
 	if ticket.Class == model.Short {
 		g.queuedShort++
 	}
 }
 
 func (g *Gate[D]) dequeued(id uint64) bool {
-	ticket, found := g.queued.Remove(id)
-	if found && ticket.Class == model.Short {
+	waiting, found := g.queued.Remove(id)
+	if found && waiting.class == model.Short {
 		g.queuedShort--
 	}
 	return found
 }
 
-func sooner(a, b Ticket) bool { return a.Deadline.Before(b.Deadline) }
+func sooner(a, b queued) bool { return a.deadline.Before(b.deadline) }
 
 // limitsOf returns the customer's limits with its shares scaled to the slots that the gate has now.
 func (g *Gate[D]) limitsOf(ticket Ticket) (model.Limits, bool) {
