--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -9,7 +9,6 @@
 
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/relay"
-	"comfreytack/core/command/admit"
 	"comfreytack/core/command/class"
 	"comfreytack/core/model"
 	"comfreytack/core/traffic/flight"
@@ -35,22 +34,29 @@
 	Flight *flight.Flight
 }
 
+// Holder keeps calls waiting for a slot.
+type Holder interface {
+	Enter(ctx context.Context, call model.Call) (hold.Slot, *model.Failure)
+	ShortService() time.Duration
+	Report() model.GateReport
+}
+
 // Gate runs calls.
-type Gate[D admit.Discipline] struct {
+type Gate[H Holder] struct {
 	settings Settings
-	hold     *hold.Gate[D]
+	hold     H
 
 	// learning guards Classes, which belongs to no single goroutine here.
 	learning sync.Mutex
 }
 
 // New returns a gate.
-func New[D admit.Discipline](settings Settings, hold *hold.Gate[D]) *Gate[D] {
-	return &Gate[D]{settings: settings, hold: hold}
+func New[H Holder](settings Settings, hold H) *Gate[H] {
+	return &Gate[H]{settings: settings, hold: hold}
 }
 
 // Run waits for a slot and sends the request to the upstream. Closing the answer's body frees the slot.
-func (g *Gate[D]) Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
+func (g *Gate[H]) Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	call.Class = max(call.Class, g.classOf(call))
 	end, failure := g.settings.Flight.Begin(ctx, call)
 	if failure != nil {
@@ -65,31 +71,40 @@
 	started := g.settings.Now()
 	answer, failure := g.trip(ctx, call, request)
 	if failure != nil {
-		slot.Release()
+		slot.Release(resultOf(failure))
 		end(failure)
 		return nil, failure
 	}
 	watched := relay.Watch(answer.Body)
 	answer.Body = relay.OnClose(watched, func() {
 		broken := brokenOff(ctx, watched)
-		if broken == nil && ctx.Err() == nil {
+		result := hold.Useless
+		if broken == nil && ctx.Err() == nil && answer.StatusCode < http.StatusInternalServerError {
+			result = hold.Useful
 			g.learn(call, g.settings.Now().Sub(started))
 		}
-		slot.Release()
+		slot.Release(result)
 		end(broken)
 	})
 	return answer, nil
 }
 
+func resultOf(failure *model.Failure) hold.Result {
+	if failure.Reason == model.UpstreamShed {
+		return hold.Shed
+	}
+	return hold.Useless
+}
+
 // classOf returns the class that the service names, or the one learnt from earlier runs.
-func (g *Gate[D]) classOf(call model.Call) model.Class {
+func (g *Gate[H]) classOf(call model.Call) model.Class {
 	service := g.settings.Snapshot().Services[call.Service]
 	g.learning.Lock()
 	defer g.learning.Unlock()
 	return g.settings.Classes.Of(service, call.Method, call.Path)
 }
 
-func (g *Gate[D]) learn(call model.Call, held time.Duration) {
+func (g *Gate[H]) learn(call model.Call, held time.Duration) {
 	service := g.settings.Snapshot().Services[call.Service]
 	mean := g.hold.ShortService()
 	g.learning.Lock()
@@ -97,7 +112,7 @@
 	g.settings.Classes.Ran(service, call.Method, call.Path, held, mean)
 }
 
-func (g *Gate[D]) trip(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
+func (g *Gate[H]) trip(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	request.Address = g.settings.Upstream
 	wire.DropOwn(request.Header)
 	wire.PutUpstream(request.Header, call, g.settings.Now())
@@ -123,12 +138,12 @@
 }
 
 // Report describes the gate's load.
-func (g *Gate[D]) Report() model.GateReport {
+func (g *Gate[H]) Report() model.GateReport {
 	return g.hold.Report()
 }
 
 // shed says whether the answer is the status by which the service promises that it did no work.
-func (g *Gate[D]) shed(call model.Call, answer *http.Response) bool {
+func (g *Gate[H]) shed(call model.Call, answer *http.Response) bool {
 	status := g.settings.Snapshot().Services[call.Service].ShedStatus
 	return status != 0 && answer.StatusCode == status
 }
--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -5,13 +5,12 @@
 	"net/http"
 
 	"comfreytack/cftd/relay"
-	"comfreytack/core/command/admit"
 	"comfreytack/core/model"
 	"comfreytack/core/wire"
 )
 
 // Handler takes calls from other daemons' entries, and their questions for a report.
-func Handler[D admit.Discipline](g *Gate[D]) http.Handler {
+func Handler[H Holder](g *Gate[H]) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(wire.HeaderAsk) != "" {
 			wire.PutReport(w.Header(), g.Report())
@@ -31,7 +30,7 @@
 	})
 }
 
-func serve[D admit.Discipline](ctx context.Context, w http.ResponseWriter, r *http.Request, g *Gate[D], call model.Call) {
+func serve[H Holder](ctx context.Context, w http.ResponseWriter, r *http.Request, g *Gate[H], call model.Call) {
 	body, err := relay.StreamBody(r)
 	if err != nil {
 		relay.WriteFailure(w, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err})
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -17,6 +17,7 @@
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/oper"
 	"comfreytack/cftd/relay"
+	"comfreytack/core/command/adapt"
 	"comfreytack/core/command/admit"
 	"comfreytack/core/command/budget"
 	"comfreytack/core/command/class"
@@ -95,13 +96,23 @@
 	}
 	switch options.Discipline {
 	case "fair":
-		return buildGate(p, admit.NewFair())
+		return buildLimiter(p, admit.NewFair())
 	case "fifo":
-		return buildGate(p, admit.NewFIFO())
+		return buildLimiter(p, admit.NewFIFO())
 	}
 	return nil, errors.Errorf("unknown discipline %q", options.Discipline)
 }
 
+func buildLimiter[D admit.Discipline](p plan, discipline D) (*parts, error) {
+	switch p.options.Limiter {
+	case "fixed":
+		return buildGate(p, discipline, adapt.Fixed{})
+	case "verified":
+		return buildGate(p, discipline, adapt.NewVerified())
+	}
+	return nil, errors.Errorf("unknown limiter %q", p.options.Limiter)
+}
+
 // selfOf describes this daemon. Its incarnation is its start time, so that later lives compare greater.
 func selfOf(settings setup.Settings, started time.Time) model.Upstream {
 	return model.Upstream{
@@ -115,7 +126,7 @@
 	}
 }
 
-func buildGate[D admit.Discipline](p plan, discipline D) (*parts, error) {
+func buildGate[D admit.Discipline, L adapt.Policy](p plan, discipline D, limiter L) (*parts, error) {
 	local := gate.New(gate.Settings{
 		Upstream:  p.settings.Upstream,
 		Transport: relay.NewTransport(upstreamConnections, upstreamIdle),
@@ -132,7 +143,7 @@
 	}, hold.New(hold.Settings{
 		Snapshot: p.control.Snapshot,
 		Now:      time.Now,
-	}, admit.New(firstSlots, discipline)))
+	}, admit.New(firstSlots, discipline), adapt.New(1, firstSlots, limiter)))
 	sending, err := buildSend(p)
 	if err != nil {
 		return nil, err
--- a/cftd/start/main.go
+++ b/cftd/start/main.go
@@ -30,6 +30,7 @@
 	Check      bool   `long:"check" description:"Check the settings, print the result and exit"`
 	Version    bool   `long:"version" description:"Print the version and exit"`
 	Policy     string `long:"policy" hidden:"true" default:"weighted_choices" description:"Routing policy, for measurements"`
+	Limiter    string `long:"limiter" hidden:"true" default:"fixed" description:"How the gate's slots are set, for measurements"`
 	Discipline string `long:"discipline" hidden:"true" default:"fair" description:"Order of the gate's queue, for measurements"`
 }
 
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -114,7 +114,7 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	options := Options{Policy: "weighted_choices", Discipline: "fair"}
+	options := Options{Policy: "weighted_choices", Discipline: "fair", Limiter: "fixed"}
 	go func() { done <- serve(ctx, settings, options, slog.New(slog.DiscardHandler)) }()
 	t.Cleanup(func() {
 		stop()
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -1,11 +1,14 @@
 // Package hold lets traffic goroutines wait for a slot of a gate.
 package hold
 
+//go:generate go tool stringer -type=Result -linecomment -output=enums_string.go
+
 import (
 	"context"
 	"sync"
 	"time"
 
+	"comfreytack/core/command/adapt"
 	"comfreytack/core/command/admit"
 	"comfreytack/core/model"
 	"comfreytack/core/query/fresh"
@@ -19,12 +22,13 @@
 	Now func() time.Time
 }
 
-// Gate guards an admit.Gate for many goroutines.
-type Gate[D admit.Discipline] struct {
+// Gate guards an admit.Gate, and the limiter that sets its slots, for many goroutines.
+type Gate[D admit.Discipline, P adapt.Policy] struct {
 	settings Settings
 
 	mu      sync.Mutex
 	gate    *admit.Gate[D]
+	limiter *adapt.Limiter[P]
 	applied model.Revision
 	nextID  uint64
 	waiting map[uint64]chan admit.Decision
@@ -34,17 +38,30 @@
 type Slot struct {
 	// Waited is how long the request was queued.
 	Waited time.Duration
-	// Release frees the slot. It may be called more than once.
-	Release func()
+	// Release frees the slot; it counts once, however often it is called.
+	Release func(Result)
 }
 
+// Result is what a run tells of the upstream's speed.
+type Result int
+
+// The results.
+const (
+	// Useful means that the upstream worked as it should, so that the time counts.
+	Useful Result = iota // useful
+	// Useless means that the run failed or was given up; its time says nothing.
+	Useless // useless
+	// Shed means that the upstream refused before any work.
+	Shed // shed
+)
+
 // New returns a gate without waiting requests.
-func New[D admit.Discipline](settings Settings, gate *admit.Gate[D]) *Gate[D] {
-	return &Gate[D]{settings: settings, gate: gate, waiting: map[uint64]chan admit.Decision{}}
+func New[D admit.Discipline, P adapt.Policy](settings Settings, gate *admit.Gate[D], limiter *adapt.Limiter[P]) *Gate[D, P] {
+	return &Gate[D, P]{settings: settings, gate: gate, limiter: limiter, waiting: map[uint64]chan admit.Decision{}}
 }
 
 // Enter waits for a slot. The failure's verdict is always NotRun: the request has not started.
-func (g *Gate[D]) Enter(ctx context.Context, call model.Call) (Slot, *model.Failure) {
+func (g *Gate[D, P]) Enter(ctx context.Context, call model.Call) (Slot, *model.Failure) {
 	arrived := g.settings.Now()
 	if failure := refuseAtDoor(g.settings.Snapshot()); failure != nil {
 		return Slot{}, failure
@@ -57,20 +74,19 @@
 		return Slot{}, refused(decision)
 	}
 	if failure := g.recheck(ctx, call); failure != nil {
-		g.finish(id)
+		g.finish(id, call.Class, g.settings.Now(), Useless)
 		return Slot{}, failure
 	}
-	release := sync.OnceFunc(func() {
-		if ctx.Err() != nil {
-			g.abandon(id)
-		}
-		g.finish(id)
-	})
-	return Slot{Waited: g.settings.Now().Sub(arrived), Release: release}, nil
+	started := g.settings.Now()
+	var once sync.Once
+	release := func(result Result) {
+		once.Do(func() { g.finish(id, call.Class, started, result) })
+	}
+	return Slot{Waited: started.Sub(arrived), Release: release}, nil
 }
 
 // Report describes the gate's load to other daemons.
-func (g *Gate[D]) Report() model.GateReport {
+func (g *Gate[D, P]) Report() model.GateReport {
 	snapshot := g.settings.Snapshot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -83,13 +99,13 @@
 }
 
 // ShortService returns the recent mean service time of short work; zero before the first was measured.
-func (g *Gate[D]) ShortService() time.Duration {
+func (g *Gate[D, P]) ShortService() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.gate.ShortService()
 }
 
-func (g *Gate[D]) arrive(now time.Time, call model.Call) (uint64, admit.Decision, chan admit.Decision) {
+func (g *Gate[D, P]) arrive(now time.Time, call model.Call) (uint64, admit.Decision, chan admit.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	snapshot := g.settings.Snapshot()
@@ -113,7 +129,7 @@
 	return ticket.ID, decision, wake
 }
 
-func (g *Gate[D]) wait(ctx context.Context, id uint64, wake chan admit.Decision) admit.Decision {
+func (g *Gate[D, P]) wait(ctx context.Context, id uint64, wake chan admit.Decision) admit.Decision {
 	select {
 	case decision := <-wake:
 		return decision
@@ -130,7 +146,7 @@
 }
 
 // recheck repeats the checks after the wait: the daemon may have been paused between the decision and now.
-func (g *Gate[D]) recheck(ctx context.Context, call model.Call) *model.Failure {
+func (g *Gate[D, P]) recheck(ctx context.Context, call model.Call) *model.Failure {
 	now := g.settings.Now()
 	snapshot := g.settings.Snapshot()
 	switch {
@@ -144,21 +160,30 @@
 	return nil
 }
 
-func (g *Gate[D]) finish(id uint64) {
+func (g *Gate[D, P]) finish(id uint64, class model.Class, started time.Time, result Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.settings.Now()
+	inFlight := g.gate.Report().InFlight
+	if result != Useful {
+		g.gate.Abandon(id)
+	}
 	g.wake(g.gate.Finish(now, id))
+	if class == model.Short && result != Useless {
+		sample := adapt.Sample{Held: now.Sub(started), InFlight: inFlight, Shed: result == Shed}
+		g.resize(now, g.limiter.Observe(now, sample))
+	}
 }
 
-func (g *Gate[D]) abandon(id uint64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.gate.Abandon(id)
+// resize follows the limiter. The caller holds the lock.
+func (g *Gate[D, P]) resize(now time.Time, slots int) {
+	if slots != g.gate.Slots {
+		g.wake(g.gate.Resize(now, slots))
+	}
 }
 
 // wake hands decisions to the goroutines that wait for them. The caller holds the lock.
-func (g *Gate[D]) wake(decisions []admit.Decision) {
+func (g *Gate[D, P]) wake(decisions []admit.Decision) {
 	for _, decision := range decisions {
 		g.waiting[decision.Ticket] <- decision
 		delete(g.waiting, decision.Ticket)
@@ -166,13 +191,15 @@
 }
 
 // applyLimits follows the control state. The caller holds the lock.
-func (g *Gate[D]) applyLimits(now time.Time, snapshot *model.Snapshot) {
+func (g *Gate[D, P]) applyLimits(now time.Time, snapshot *model.Snapshot) {
 	if snapshot.Revision == g.applied {
 		return
 	}
 	g.applied = snapshot.Revision
-	slots := snapshot.Services[snapshot.Self.Service].Slots
+	slots := max(1, snapshot.Services[snapshot.Self.Service].Slots)
 	g.wake(g.gate.SetLimits(now, slots, snapshot.Limits))
+	g.limiter.SetMost(slots)
+	g.resize(now, g.limiter.Slots())
 }
 
 func refuseAtDoor(snapshot *model.Snapshot) *model.Failure {
