Tell connections that were never made from answers that never came

A caller whose connection is refused knows that nothing ran; counting it as may_have_run hid how seldom the daemons leave a caller in doubt.

--- a/cftlab/loader/check.go
+++ b/cftlab/loader/check.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	vegeta "github.com/tsenart/vegeta/v12/lib"
@@ -19,6 +20,9 @@
 	if result.Code == 0 {
 		record.Error = result.Error
 	}
+	if strings.Contains(record.Error, ": connect: ") {
+		record.Verdict, record.Reason = model.NotRun, NoConnection
+	}
 	if result.Code == http.StatusOK {
 		record.Wrong = record.Verdict == model.NotRun || !matches(sent, result.Body)
 	}
--- a/cftlab/loader/loader_test.go
+++ b/cftlab/loader/loader_test.go
@@ -73,6 +73,21 @@
 	}
 }
 
+// TestNoConnection sends to a port that nobody listens on.
+func TestNoConnection(t *testing.T) {
+	server := httptest.NewServer(nil)
+	target := server.Listener.Addr().String()
+	server.Close()
+	plan := loader.Plan{Streams: []loader.Stream{{Customer: "c", Method: "GET", Path: "/", Rate: 100, DeadlineMs: 100}}}
+	settings := loader.Settings{Targets: []string{target}, Span: 100 * time.Millisecond, Seed: 1, Prefix: "test"}
+	records, err := loader.Run(t.Context(), settings, plan)
+	qt.Assert(t, err, qt.IsNil)
+	for _, record := range records {
+		qt.Assert(t, record.Verdict, qt.Equals, model.NotRun)
+		qt.Assert(t, record.Reason, qt.Equals, loader.NoConnection)
+	}
+}
+
 // TestRun sends a few requests to a fake upstream through a handler that does something to the answer.
 func TestRun(t *testing.T) {
 	tests := []struct {
--- a/cftlab/loader/model.go
+++ b/cftlab/loader/model.go
@@ -79,9 +79,9 @@
 	Latency time.Duration `json:"latency_ns"`
 	// Deadline is how long the caller was willing to wait.
 	Deadline time.Duration `json:"deadline_ns"`
-	// Verdict is MayHaveRun when the caller was told nothing.
+	// Verdict is MayHaveRun when the caller was told nothing after it had connected.
 	Verdict model.Verdict `json:"verdict"`
-	// Reason is the daemon's, or NoVerdict.
+	// Reason is the daemon's, or NoVerdict or NoConnection.
 	Reason string `json:"reason"`
 	// Status is the HTTP status; zero when there was no whole answer.
 	Status int `json:"status"`
@@ -91,8 +91,13 @@
 	Error string `json:"error,omitempty"`
 }
 
-// NoVerdict is the reason of a record whose answer named none.
-const NoVerdict = "no_verdict"
+// Reasons that no daemon gives.
+const (
+	// NoVerdict means that the caller got no answer, or one without a verdict.
+	NoVerdict = "no_verdict"
+	// NoConnection means that the caller could not connect, and so knows that nothing ran.
+	NoConnection = "no_connection"
+)
 
 // Served says that the caller got the whole answer of a successful run. The verdict of such an answer is
 // may_have_run when an earlier attempt of an idempotent request may have run too.
