--- a/cftlab/fleet/fleet.go
+++ b/cftlab/fleet/fleet.go
@@ -22,6 +22,7 @@
 const (
 	readyTimeout = 30 * time.Second
 	readyPolling = 100 * time.Millisecond
+	respawnDelay = 300 * time.Millisecond
 	stopGrace    = 8 * time.Second
 	dirMode      = 0o755
 	fileMode     = 0o644
@@ -37,8 +38,8 @@
 	Site deploy.Site
 	// Flags go to every daemon.
 	Flags []string
-	// UpstreamFlags go to every fake upstream.
-	UpstreamFlags []string
+	// Respawn starts a fake upstream again after it has died by itself.
+	Respawn bool
 }
 
 // Fleet is a running deployment.
@@ -49,6 +50,12 @@
 	mutex     sync.Mutex
 	upstreams map[model.UpstreamName]*Process
 	daemons   map[model.UpstreamName]*Process
+	// respawns counts those that are being started again.
+	respawns sync.WaitGroup
+	// stopping rules out that anything is started again.
+	stopping bool
+	// deaths counts the upstreams that have died by themselves.
+	deaths int
 }
 
 // Launch starts all processes and waits until every daemon is ready. When it fails, none is left.
@@ -125,7 +132,6 @@
 		"--connections", fmt.Sprint(place.Connections),
 		"--run-log", f.runLog(name),
 	}
-	args = append(args, f.settings.UpstreamFlags...)
 	process, err := start("upstream-"+string(name), f.settings.Folder, filepath.Join(f.settings.Bin, "cftlab"), args...)
 	if err != nil {
 		return err
@@ -133,6 +139,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.upstreams[name] = process
+	go f.watch(place, process)
 	return nil
 }
 
@@ -198,6 +205,41 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// Usage returns the resident memory in bytes and the processor time of a daemon.
+func (f *Fleet) Usage(place deploy.Place) (int64, time.Duration, error) {
+	return f.daemon(place).Usage()
+}
+
+// Deaths returns how many upstreams have died by themselves.
+func (f *Fleet) Deaths() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.deaths
+}
+
+// watch starts an upstream again when it has died by itself.
+func (f *Fleet) watch(place deploy.Place, process *Process) {
+	<-process.ended
+	if process.asked.Load() || !f.countDeath() {
+		return
+	}
+	defer f.respawns.Done()
+	time.Sleep(respawnDelay)
+	_ = f.StartUpstream(place) // its absence shows in the results
+}
+
+// countDeath says whether to start the upstream again; then a respawn is under way.
+func (f *Fleet) countDeath() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.deaths++
+	if f.stopping || !f.settings.Respawn {
+		return false
+	}
+	f.respawns.Add(1)
+	return true
+}
+
 // Runs returns the runs of all upstreams, dead ones too.
 func (f *Fleet) Runs() ([]stub.Run, error) {
 	runs := []stub.Run{}
@@ -242,6 +284,10 @@
 // Stop ends all processes: first the daemons, which finish what is in flight, then what they need.
 // It returns the names of those that had to be killed.
 func (f *Fleet) Stop() []string {
+	f.mutex.Lock()
+	f.stopping = true
+	f.mutex.Unlock()
+	f.respawns.Wait()
 	others := []*Process{}
 	for _, upstream := range f.upstreams {
 		others = append(others, upstream)
--- a/cftlab/fleet/proc.go
+++ b/cftlab/fleet/proc.go
@@ -5,6 +5,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,6 +23,8 @@
 
 	command *exec.Cmd
 	ended   chan struct{}
+	// asked says that cftlab ended the process.
+	asked atomic.Bool
 }
 
 // start runs a program whose output goes to a file in folder.
@@ -47,12 +52,14 @@
 
 // Kill ends the process at once, as a failing server would.
 func (p *Process) Kill() {
+	p.asked.Store(true)
 	_ = p.command.Process.Kill() // it may have ended by itself
 	<-p.ended
 }
 
 // Terminate asks the process to stop and does not wait.
 func (p *Process) Terminate() {
+	p.asked.Store(true)
 	_ = p.command.Process.Signal(syscall.SIGTERM) // it may have ended by itself
 }
 
@@ -76,6 +83,47 @@
 	}
 }
 
+// Usage returns the resident memory in bytes and the processor time used so far.
+func (p *Process) Usage() (int64, time.Duration, error) {
+	folder := filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid))
+	statm, err := readFields(filepath.Join(folder, "statm"), 2)
+	if err != nil {
+		return 0, 0, err
+	}
+	stat, err := readFields(filepath.Join(folder, "stat"), statStime+1)
+	if err != nil {
+		return 0, 0, err
+	}
+	pages, ticks := toInt(statm[1]), toInt(stat[statUtime])+toInt(stat[statStime])
+	return pages * int64(os.Getpagesize()), time.Duration(ticks) * time.Second / ticksPerSecond, nil
+}
+
+const (
+	// statUtime and statStime are fields of /proc/PID/stat, counted from 0.
+	statUtime = 13
+	statStime = 14
+	// ticksPerSecond is the unit of processor times that the kernel shows to programs.
+	ticksPerSecond = 100
+)
+
+func readFields(path string, least int) ([]string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < least {
+		return nil, errors.Errorf("%s: %d fields, want at least %d", path, len(fields), least)
+	}
+	return fields, nil
+}
+
+// toInt returns 0 for text that is no number, which the kernel does not write.
+func toInt(text string) int64 {
+	number, _ := strconv.ParseInt(text, 10, 64)
+	return number
+}
+
 // Ended says whether the process is no longer running.
 func (p *Process) Ended() bool {
 	select {
--- a/cftlab/verbs/faults.go
+++ b/cftlab/verbs/faults.go
@@ -31,6 +31,7 @@
 	Rounds      int      `long:"rounds" default:"1" description:"how many rounds, each with the next seed"`
 	Count       int      `long:"count" default:"20" description:"faults in each round"`
 	Kind        []string `long:"kind" description:"only faults of this kind; may be repeated"`
+	CrashRate   float64  `long:"crash-rate" description:"per second, sends one request again and again that crashes each upstream that runs it"`
 	Bin         string   `long:"bin" default:"bin" value-name:"FOLDER" description:"folder of the programs"`
 	Flag        []string `long:"flag" value-name:"FLAG" description:"passed to every daemon; may be repeated"`
 }
@@ -84,7 +85,7 @@
 		return errors.WithStack(err)
 	}
 	site := deployment.Place(fleet.NewPorts(os.Getpid()).Next)
-	running, err := fleet.Launch(ctx, fleet.Settings{Bin: f.Bin, Folder: folder, Site: site, Flags: f.Flag})
+	running, err := fleet.Launch(ctx, fleet.Settings{Bin: f.Bin, Folder: folder, Site: site, Flags: f.Flag, Respawn: true})
 	if err != nil {
 		return err
 	}
@@ -99,7 +100,7 @@
 		Span:    seconds(f.Seconds),
 		Seed:    seed,
 		Prefix:  prefix(time.Now()),
-	}, deployment.Plan.Scaled(f.Scale))
+	}, f.withCrash(deployment.Plan.Scaled(f.Scale)))
 	if failure := <-failed; err == nil {
 		err = failure
 	}
@@ -110,9 +111,27 @@
 	if err != nil {
 		return err
 	}
+	fmt.Fprintf(streams.Out, "upstreams that died by themselves: %d\n", running.Deaths())
 	if err := report(streams, "faults", records, running); err != nil {
 		fmt.Fprintf(streams.Errs, "logs and run logs: %s\n", folder)
 		return err
 	}
 	return errors.WithStack(os.RemoveAll(folder))
 }
+
+// withCrash adds requests with one body that crashes upstreams, on the route of the first
+// non-idempotent stream.
+func (f *faultRun) withCrash(plan loader.Plan) loader.Plan {
+	if f.CrashRate <= 0 {
+		return plan
+	}
+	for _, stream := range plan.Streams {
+		if !stream.Idempotent {
+			stream.Rate, stream.Steps = f.CrashRate, nil
+			stream.Body, stream.Keyed, stream.Resend = "Lab-Crash", false, 0
+			plan.Streams = append(plan.Streams, stream)
+			return plan
+		}
+	}
+	return plan
+}
--- a/cftlab/verbs/verbs.go
+++ b/cftlab/verbs/verbs.go
@@ -50,6 +50,7 @@
 		loadVerb,
 		addedVerb,
 		compareVerb,
+		idleVerb,
 	}
 }
 
