Explore upstreams that were not heard of, and trust own latency longer

Cause: a server that had been slow got no call after its recovery: its gate went on reporting the old service time (TestRecoveredServerReturns: 0, 2 and 0 of 1500 calls), and with 500 daemons own evidence was forgotten before enough calls had come (p99 206.3 ms with one of five servers 10 times slower).

Chosen: one call in 400 goes to the candidate that answered least lately; own latency and reported service time count for 5 s; after a time without answers a new latency counts for more.

Ruled out: doubting the report of an idle gate, which with many daemons sends each of them to the slow server again and again. Run: go test ./query/route -run 'TestPolicies|TestRecovered' -v -seconds 10

--- a/core/command/load/life.go
+++ b/core/command/load/life.go
@@ -51,8 +51,10 @@
 }
 
 const (
-	// latencyWeight is the weight of one answered call in the mean latency.
+	// latencyWeight is the least weight of one answered call in the mean latency.
 	latencyWeight = 0.05
+	// latencyMemory is how long the mean latency outweighs a new one after a time without answers.
+	latencyMemory = 2 * time.Second
 	// failingWeight is the weight of one call in the share of failures.
 	failingWeight = 0.1
 	// failingHalfLife is the time in which the share of failures halves without calls.
@@ -131,10 +133,12 @@
 }
 
 func (l *life) took(now time.Time, latency time.Duration) {
-	if l.latencyAt.IsZero() {
-		l.latency = latency
+	weight := 1.0
+	if !l.latencyAt.IsZero() {
+		gap := float64(max(0, now.Sub(l.latencyAt)))
+		weight = max(latencyWeight, 1-math.Exp(-gap/float64(latencyMemory)))
 	}
-	l.latency += time.Duration(latencyWeight * float64(latency-l.latency))
+	l.latency += time.Duration(weight * float64(latency-l.latency))
 	l.latencyAt = now
 }
 
--- a/core/query/route/measure_test.go
+++ b/core/query/route/measure_test.go
@@ -47,6 +47,7 @@
 	{name: "50 daemons, one 10x slower, reports lag 1 s", load: 0.7, daemons: 50, slow: 10, lag: time.Second},
 	{name: "500 daemons, one 10x slower, 70%", load: 0.7, daemons: 500, slow: 10},
 	{name: "one 10x slower, it reports idle", load: 0.7, daemons: 5, slow: 10, lying: true},
+	{name: "50 daemons, one 10x slower, it reports idle", load: 0.7, daemons: 50, slow: 10, lying: true},
 	{name: "one fails fast, 70%", load: 0.7, daemons: 5, failFast: true},
 }
 
--- a/core/query/route/names.go
+++ b/core/query/route/names.go
@@ -11,14 +11,15 @@
 
 const (
 	reportLifetime  = 500 * time.Millisecond
-	serviceLifetime = 2 * time.Second
-	latencyLifetime = 2 * time.Second
+	serviceLifetime = 5 * time.Second
+	latencyLifetime = 5 * time.Second
 	othersWeight    = 0.1
 	roundTrip       = 3 * time.Millisecond
 	serviceTime     = 10 * time.Millisecond
 	defaultSlots    = 10
 	fewChoices      = 3
 	hotQuantile     = 0.75
+	exploreOneIn    = 400
 )
 
 // Named is a policy under the name that settings use.
@@ -51,6 +52,7 @@
 		RoundTrip:       roundTrip,
 		ServiceTime:     serviceTime,
 		Slots:           defaultSlots,
+		ExploreOneIn:    exploreOneIn,
 	}
 }
 
--- a/core/query/route/weighted.go
+++ b/core/query/route/weighted.go
@@ -28,6 +28,10 @@
 	ServiceTime time.Duration
 	// Slots is assumed of an upstream of which nothing is known; at least 1.
 	Slots int
+	// ExploreOneIn is how many calls there are to one that goes to the candidate that has answered
+	// least lately; zero for none. Without it a server that was slow would get no call that could show
+	// that it has recovered, and its gate would report the old service time for ever.
+	ExploreOneIn int
 }
 
 // leastSuccess bounds how far failures raise the cost of a candidate.
@@ -35,6 +39,9 @@
 
 // Choose implements Policy.
 func (p Weighted) Choose(now time.Time, random Random, candidates []Candidate) int {
+	if p.ExploreOneIn > 0 && random(p.ExploreOneIn) == 0 {
+		return leastKnown(candidates)
+	}
 	best, bestCost := 0, math.Inf(1)
 	choices := min(p.Choices, len(candidates))
 	for i := range choices {
@@ -48,6 +55,17 @@
 	return best
 }
 
+// leastKnown returns the candidate whose newest answer is the oldest.
+func leastKnown(candidates []Candidate) int {
+	least := 0
+	for i := range candidates {
+		if candidates[i].LatencyAt.Before(candidates[least].LatencyAt) {
+			least = i
+		}
+	}
+	return least
+}
+
 // cost is the expected time of a call in nanoseconds, raised for failures and for cold upstreams.
 func (p Weighted) cost(now time.Time, c *Candidate) float64 {
 	trust := trustAt(now, c.ReportAt, p.ReportLifetime)
