--- a/cftd/peers/fleet_test.go
+++ b/cftd/peers/fleet_test.go
@@ -319,7 +319,7 @@
 		{"200 restarting 10%", 20, 10, 8, 0.1, time.Second},
 		{"200 restarting 30%", 20, 10, 8, 0.3, time.Second},
 		{"200 no changes", 20, 10, 8, 0, time.Hour},
-		{"200 4 changes/s", 20, 10, 8, 0, 250 * time.Millisecond},
+		{"200 4 changes a second", 20, 10, 8, 0, 250 * time.Millisecond},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/cftd/peers/peers.go
+++ b/cftd/peers/peers.go
@@ -115,6 +115,14 @@
 }
 
 func (n *Network) serveConn(ctx context.Context, conn net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	// Close waits for what runs; nothing may be added once it has begun to.
+	if n.ctx.Err() != nil {
+		n.incoming.Release(1)
+		_ = conn.Close()
+		return
+	}
 	timed := &timedConn{Conn: conn, traffic: &n.Traffic, idle: idleIncoming}
 	rpc := newRPC(n.ctx, timed, jsonrpc2.HandlerWithError(n.handle))
 	n.running.Go(func() {
--- a/core/command/daemon/faults_test.go
+++ b/core/command/daemon/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"testing"
@@ -253,3 +254,35 @@
 		f.settle(t)
 	})
 }
+
+// TestReadsWithinBudget holds that no schedule of news, failures and waits makes one daemon read more
+// often than a fleet of the largest size could afford if all daemons did the same.
+func TestReadsWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		state := reader.New(model.Peer{Name: "self", Incarnation: 1, FailureDomain: "d0"}, now, now)
+		state.Fleet = rapid.SampledFrom([]int{0, reader.MaxFleet}).Draw(t, "fleet")
+		var startedAt time.Time
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 30_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"succeed": func(*rapid.T) { state.Ended(now, true, random) },
+			"fail":    func(*rapid.T) { state.Ended(now, false, random) },
+			"hear": func(t *rapid.T) {
+				name := model.UpstreamName(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "reader"))
+				state.Heard(now, []reader.Read{{Reader: name, Incarnation: 1, FailureDomain: "d0", Sequence: rapid.Uint64Range(1, 9).Draw(t, "sequence")}})
+			},
+			"": func(t *rapid.T) {
+				if !state.Beat(now, random) {
+					return
+				}
+				if gap := now.Sub(startedAt); gap < reader.Gap {
+					t.Fatalf("two reads within %v", gap)
+				}
+				startedAt = now
+			},
+		})
+	})
+}
