--- a/core/command/member/member.go
+++ b/core/command/member/member.go
@@ -95,6 +95,7 @@
 	first := min(nearInSample, len(byDomain[near]))
 	sample := slices.Clone(byDomain[near][:first])
 	byDomain[near] = byDomain[near][first:]
+	domains = append(slices.DeleteFunc(domains, func(d model.FailureDomain) bool { return d == near }), near)
 	for len(sample) < min(SampleSize, len(peers)) {
 		for _, domain := range domains {
 			if len(byDomain[domain]) > 0 && len(sample) < SampleSize {
--- /dev/null
+++ b/core/command/member/member_test.go
@@ -0,0 +1,78 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"comfreytack/core/command/member"
+	"comfreytack/core/model"
+)
+
+func fleet(size, domains int) []model.Upstream {
+	var upstreams []model.Upstream
+	for i := range size {
+		upstreams = append(upstreams, model.Upstream{
+			Name:          model.UpstreamName(fmt.Sprintf("u%d", i)),
+			FailureDomain: model.FailureDomain(fmt.Sprintf("d%d", i%domains)),
+			Peer:          model.Address(fmt.Sprintf("10.0.0.%d:2", i)),
+		})
+	}
+	return upstreams
+}
+
+func TestPublished(t *testing.T) {
+	tests := []struct {
+		name          string
+		size, domains int
+		wantSample    int
+		wantDomains   int
+		wantNear      int
+	}{
+		{"alone", 1, 1, 0, 0, 0},
+		{"one deployment", 17, 4, 16, 4, 4},
+		{"many", 260, 24, member.SampleSize, 14, 7},
+		{"one failure domain", 100, 1, member.SampleSize, 1, member.SampleSize},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			upstreams := fleet(test.size, test.domains)
+			book := member.New(member.PeerOf(upstreams[0]), nil)
+			book.Published(upstreams)
+			domains := map[model.FailureDomain]int{}
+			for _, peer := range book.Sample {
+				domains[peer.FailureDomain]++
+			}
+			qt.Assert(t, len(book.Sample), qt.Equals, test.wantSample)
+			qt.Assert(t, len(domains), qt.Equals, test.wantDomains)
+			qt.Assert(t, domains["d0"], qt.Equals, test.wantNear)
+		})
+	}
+}
+
+func TestHear(t *testing.T) {
+	tests := []struct {
+		name  string
+		lives []model.Incarnation
+		want  []bool
+	}{
+		{"one life", []model.Incarnation{3, 3}, []bool{true, true}},
+		{"replaced at the same address", []model.Incarnation{3, 4}, []bool{true, true}},
+		{"delayed word of the life before", []model.Incarnation{4, 3, 4}, []bool{true, false, true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			upstreams := fleet(2, 1)
+			book := member.New(member.PeerOf(upstreams[0]), nil)
+			var got []bool
+			for _, life := range test.lives {
+				peer := member.PeerOf(upstreams[1])
+				peer.Incarnation = life
+				got = append(got, book.Hear(time.Unix(1000, 0), peer))
+			}
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/core/loop/loop_test.go
@@ -0,0 +1,70 @@
+package loop_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"comfreytack/core/loop"
+	"comfreytack/core/model"
+)
+
+// counter counts events in its revision and asks for one effect with each.
+type counter struct {
+	revision model.Revision
+	gaps     []time.Duration
+}
+
+func (c *counter) Apply(time.Time, string) []model.Revision {
+	c.revision++
+	return []model.Revision{c.revision}
+}
+
+func (c *counter) Beat(_ time.Time, gap time.Duration) []model.Revision {
+	c.gaps = append(c.gaps, gap)
+	return nil
+}
+
+func (c *counter) Snapshot(now time.Time) *model.Snapshot {
+	return &model.Snapshot{Revision: c.revision, BeatAt: now}
+}
+
+func TestRun(t *testing.T) {
+	tests := []struct {
+		name         string
+		posted       int
+		wantRevision model.Revision
+		wantDropped  uint64
+	}{
+		{"no event", 0, 0, 0},
+		{"as many as fit", 3, 3, 0},
+		{"more than fit", 5, 3, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				machine := &counter{}
+				var l *loop.Loop[string, model.Revision]
+				var performed []model.Revision
+				l = loop.New(loop.Settings{Beat: time.Second, Backlog: 3, Now: time.Now}, machine, func(effect model.Revision) {
+					// The state is visible before its effects are carried out.
+					qt.Assert(t, l.Snapshot().Revision, qt.Equals, effect)
+					performed = append(performed, effect)
+				})
+				for range test.posted {
+					l.Post("event")
+				}
+				ctx, stop := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+				defer stop()
+				l.Run(ctx)
+				qt.Assert(t, l.Snapshot().Revision, qt.Equals, test.wantRevision)
+				qt.Assert(t, len(performed), qt.Equals, int(test.wantRevision))
+				qt.Assert(t, l.Dropped(), qt.Equals, test.wantDropped)
+				qt.Assert(t, machine.gaps, qt.DeepEquals, []time.Duration{time.Second, time.Second})
+			})
+		})
+	}
+}
