--- a/core/command/daemon/world_test.go
+++ b/core/command/daemon/world_test.go
@@ -26,6 +26,8 @@
 	revision model.Revision
 	newest   map[string]model.Change
 	down     bool
+	// cutSide is the side of the network that cannot read; zero when all can.
+	cutSide int
 	// staleAt makes reads see nothing behind this revision; zero sees all.
 	staleAt model.Revision
 	reads   int
@@ -131,6 +133,8 @@
 	latency        time.Duration
 	messages       int
 	bytes          int
+	// calls has the services that each node calls, where that matters.
+	calls map[*node][]model.ServiceName
 	// sampleBytes measures one message in so many, and counts it as that many; zero measures none.
 	sampleBytes int
 	// onReady is called when a node becomes ready; it may be nil.
@@ -296,7 +300,7 @@
 	if n.life != life || n.down {
 		return
 	}
-	if w.platform.down {
+	if w.platform.down || (w.platform.cutSide > 0 && n.side == w.platform.cutSide) {
 		w.apply(n, life, daemon.ChangesRead{Failed: true})
 		return
 	}
