Spread what is learnt of crashes, and charge them to what ran

Cause: the gate and the control goroutine kept a book of crashes each, so that nothing was passed on; a request that crashes each upstream, re-sent once a second, killed 12 upstreams in 20 s. Then: news of a crash went one hop only; requests that still waited at the gate were charged; an upstream that accepted a moment longer than it answered was not seen to crash; two crashes within a second counted as one, and the second was charged to requests of the first. Changed: one book, CrashSeen posted, news passed on; only started requests are charged; a refused connection is looked for twice, 20 ms apart; a request that started after a crash makes the next one another. Tests: core/traffic/flight, each row failing without its change.

--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -58,21 +58,22 @@
 // Run waits for a slot and sends the request to the upstream. Closing the answer's body frees the slot.
 func (g *Gate[H]) Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	call.Class = max(call.Class, g.classOf(call))
-	end, failure := g.settings.Flight.Begin(ctx, call)
+	run, failure := g.settings.Flight.Begin(ctx, call)
 	if failure != nil {
 		return nil, failure
 	}
 	slot, failure := g.hold.Enter(ctx, call)
 	if failure != nil {
-		end(failure)
+		run.End(failure)
 		return nil, failure
 	}
+	run.Start()
 	g.settings.Meter.Wait(call, slot.Waited)
 	started := g.settings.Now()
 	answer, failure := g.trip(ctx, call, request)
 	if failure != nil {
 		slot.Release(resultOf(failure))
-		end(failure)
+		run.End(failure)
 		return nil, failure
 	}
 	watched := relay.Watch(answer.Body)
@@ -84,7 +85,7 @@
 			g.learn(call, g.settings.Now().Sub(started))
 		}
 		slot.Release(result)
-		end(broken)
+		run.End(broken)
 	})
 	return answer, nil
 }
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -45,6 +45,7 @@
 	upstreamIdle = 4 * time.Second
 	// gateIdle is below idleTimeout, the limit of the gates' own servers.
 	gateIdle      = time.Minute
+	downRecheck   = 20 * time.Millisecond
 	learntClasses = 1024
 	// What a home remembers for each customer.
 	keysPerCustomer        = 1024
@@ -71,8 +72,10 @@
 	log      *slog.Logger
 	self     model.Upstream
 	plane    *controlPlane
-	control  *loop.Loop[daemon.Event, daemon.Effect]
-	meter    *meter.Meter
+	// crashes is shared by the gate, which writes to it, and the control goroutine, which passes it on.
+	crashes *poison.Book
+	control *loop.Loop[daemon.Event, daemon.Effect]
+	meter   *meter.Meter
 	// links holds the connections to other daemons' gates.
 	links  *http.Transport
 	book   *load.Book
@@ -81,13 +84,15 @@
 
 func build(settings setup.Settings, options Options, log *slog.Logger) (*parts, error) {
 	self := selfOf(settings, time.Now())
-	plane := newControl(settings, self, log)
+	crashes := poison.New(poison.DefaultSettings())
+	plane := newControl(settings, self, crashes, log)
 	p := plan{
 		settings: settings,
 		options:  options,
 		log:      log,
 		self:     self,
 		plane:    plane,
+		crashes:  crashes,
 		control:  plane.loop,
 		meter:    meter.New(),
 		links:    relay.NewTransport(gateConnections, gateIdle),
@@ -136,9 +141,12 @@
 		Classes:   class.New(learntClasses),
 		Flight: flight.New(flight.Settings{
 			Self: p.self,
-			Book: poison.New(poison.DefaultSettings()),
+			Book: p.crashes,
+			Seen: func() { p.control.Post(daemon.CrashSeen{}) },
 			Now:  time.Now,
 			Down: func() bool { return relay.Refuses(p.settings.Upstream) },
+
+			Recheck: downRecheck,
 		}),
 	}, hold.New(hold.Settings{
 		Snapshot: p.control.Snapshot,
--- a/cftd/start/control.go
+++ b/cftd/start/control.go
@@ -16,6 +16,7 @@
 	"comfreytack/cftd/health"
 	"comfreytack/cftd/peers"
 	"comfreytack/core/command/daemon"
+	"comfreytack/core/command/poison"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/setup"
@@ -30,12 +31,13 @@
 	ctx     context.Context
 }
 
-func newControl(settings setup.Settings, self model.Upstream, log *slog.Logger) *controlPlane {
+func newControl(settings setup.Settings, self model.Upstream, crashes *poison.Book, log *slog.Logger) *controlPlane {
 	c := &controlPlane{}
 	state := daemon.New(daemon.Settings{
 		Self:   self,
 		Seeds:  settings.Seeds,
 		Calls:  settings.Calls,
+		Poison: crashes,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, time.Now())
 	c.loop = loop.New(loop.Settings{Beat: beatInterval, Backlog: eventBacklog, Now: time.Now}, state, c.perform)
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -14,7 +14,9 @@
 		return nil
 	}
 	s.Reader.Heard(now, message.Reads)
-	s.Settings.Poison.Merge(now, message.Crashes)
+	if s.Settings.Poison.Merge(now, message.Crashes) {
+		s.Gossip.News = true
+	}
 	news := s.Leaves.Merge(message.Leaves)
 	alive := s.Leaves.Alive(message.From)
 	aliveSelf := s.Leaves.Alive(s.self)
--- a/core/command/poison/poison.go
+++ b/core/command/poison/poison.go
@@ -121,17 +121,21 @@
 	}
 }
 
-// Merge takes in what a peer has told. The order and the number of messages do not matter.
-func (b *Book) Merge(now time.Time, told []Evidence) {
+// Merge takes in what a peer has told, and says whether any of it was news. The order and the number of
+// messages do not matter.
+func (b *Book) Merge(now time.Time, told []Evidence) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
+	news := false
 	for _, e := range told {
 		remaining := min(time.Duration(e.RemainingMs)*time.Millisecond, b.settings.Term)
 		if remaining > -b.settings.Term {
-			b.learn(now, e.Fingerprint, record{crash: e.Crash, cleared: e.Cleared, until: now.Add(remaining)})
+			learnt := record{crash: e.Crash, cleared: e.Cleared, until: now.Add(remaining)}
+			news = b.learn(now, e.Fingerprint, learnt) || news
 		}
 	}
+	return news
 }
 
 // Gossip returns the newest evidence, of at most GossipSize crashes.
@@ -197,16 +201,18 @@
 	return len(b.suspects)
 }
 
-// learn adds a crash, or clears it when it is known already. The end of a known crash never moves.
-func (b *Book) learn(now time.Time, fingerprint model.Fingerprint, learnt record) {
+// learn adds a crash, or clears it when it is known already, and says whether that changed anything. The
+// end of a known crash never moves.
+func (b *Book) learn(now time.Time, fingerprint model.Fingerprint, learnt record) bool {
 	if fingerprint == 0 {
-		return
+		return false
 	}
 	records, known := b.suspects[fingerprint]
 	for i := range records {
 		if records[i].crash == learnt.crash {
+			news := learnt.cleared && !records[i].cleared
 			records[i].cleared = records[i].cleared || learnt.cleared
-			return
+			return news
 		}
 	}
 	if !known && len(b.suspects) >= b.settings.Fingerprints {
@@ -217,6 +223,7 @@
 		records = records[1:]
 	}
 	b.suspects[fingerprint] = records
+	return true
 }
 
 // evict drops the fingerprint with the fewest crashes that count, and of these the oldest.
--- a/core/traffic/flight/flight.go
+++ b/core/traffic/flight/flight.go
@@ -7,12 +7,14 @@
 	"sync"
 	"time"
 
+	mapset "github.com/deckarep/golang-set/v2"
+
 	"comfreytack/core/command/poison"
 	"comfreytack/core/model"
 )
 
-// crashWindow is how long the connections of a crashed upstream may take to break one after another.
-const crashWindow = time.Second
+// breakWindow is how long the connections of a crashed upstream may take to break one after another.
+const breakWindow = time.Second
 
 // Settings has the explicit dependencies of a flight.
 type Settings struct {
@@ -20,10 +22,15 @@
 	Self model.Upstream
 	// Book remembers crashes by fingerprint.
 	Book *poison.Book
+	// Seen tells the control goroutine that Book has news; it does not block.
+	Seen func()
 	// Now reads the clock, with its monotonic part.
 	Now func() time.Time
 	// Down says whether the upstream refuses new connections, as it does after a crash.
 	Down func() bool
+	// Recheck is when Down is asked again: a process that ends may break its connections before it stops
+	// to accept new ones.
+	Recheck time.Duration
 }
 
 // Flight knows which fingerprints run now.
@@ -31,46 +38,53 @@
 	settings Settings
 
 	mu      sync.Mutex
-	running map[uint64]model.Fingerprint
-	nextID  uint64
+	running map[*Run]struct{}
 	broken  []breakage
-	// life is the incarnation that the next crash is charged to; it rises with each crash.
+	// life is the incarnation that the last crash was charged to; it rises with each crash.
 	life      model.Incarnation
 	crashedAt time.Time
+	// upSince is the crash before that one; what broke off earlier belongs to it.
+	upSince time.Time
 	// turned is closed and replaced when a suspect that ran alone is over.
 	turned chan struct{}
 }
 
-type breakage struct {
+// Run is one request that was let through.
+type Run struct {
+	flight      *Flight
 	fingerprint model.Fingerprint
-	at          time.Time
+	alone       bool
+	// startedAt is when the request went to the upstream; zero while it waits.
+	startedAt time.Time
 }
 
-// End tells how a request that Begin let through ended: with a whole answer, or with a failure.
-type End func(failure *model.Failure)
+type breakage struct {
+	run *Run
+	at  time.Time
+}
 
 // New returns a flight without requests.
 func New(settings Settings) *Flight {
 	return &Flight{
 		settings: settings,
-		running:  map[uint64]model.Fingerprint{},
+		running:  map[*Run]struct{}{},
 		life:     settings.Self.Incarnation,
 		turned:   make(chan struct{}),
 	}
 }
 
 // Begin lets a request through, or refuses it with verdict NotRun. A suspect waits until no other one
-// runs here. The returned End must be called once.
-func (f *Flight) Begin(ctx context.Context, call model.Call) (End, *model.Failure) {
+// runs here. End must be called once on the run that is returned.
+func (f *Flight) Begin(ctx context.Context, call model.Call) (*Run, *model.Failure) {
 	for {
 		turned := f.turnedNow()
 		switch f.settings.Book.Begin(f.settings.Now(), call.Fingerprint, call.Suspect && call.Fingerprint != 0) {
 		case poison.Barred:
 			return nil, &model.Failure{Verdict: model.NotRun, Reason: model.Quarantined}
 		case poison.Free:
-			return f.follow(call.Fingerprint, false), nil
+			return &Run{flight: f, fingerprint: call.Fingerprint}, nil
 		case poison.Alone:
-			return f.follow(call.Fingerprint, true), nil
+			return &Run{flight: f, fingerprint: call.Fingerprint, alone: true}, nil
 		case poison.Busy:
 		}
 		select {
@@ -81,56 +95,70 @@
 	}
 }
 
-func (f *Flight) follow(fingerprint model.Fingerprint, alone bool) End {
+// Start tells that the request goes to the upstream now.
+func (r *Run) Start() {
+	f := r.flight
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.nextID++
-	id := f.nextID
-	f.running[id] = fingerprint
-	return func(failure *model.Failure) { f.end(id, fingerprint, alone, failure) }
+	r.startedAt = f.settings.Now()
+	f.running[r] = struct{}{}
 }
 
-func (f *Flight) end(id uint64, fingerprint model.Fingerprint, alone bool, failure *model.Failure) {
-	if failure != nil && failure.Reason == model.UpstreamDied {
-		f.brokeOff(id, fingerprint)
-	}
-	f.mu.Lock()
-	delete(f.running, id)
-	f.mu.Unlock()
+// End tells how the request ended: with a whole answer, or with a failure.
+func (r *Run) End(failure *model.Failure) {
+	f := r.flight
+	f.leave(r, failure)
 	if failure == nil {
-		f.settings.Book.Succeeded(fingerprint)
+		f.settings.Book.Succeeded(r.fingerprint)
 	}
-	if alone {
+	if r.alone {
 		f.settings.Book.EndAlone()
 		f.turn()
 	}
 }
 
-// brokeOff notes a broken connection. If the upstream is down, everything that is in flight or broke
-// off just now was in flight at the crash.
-func (f *Flight) brokeOff(id uint64, fingerprint model.Fingerprint) {
-	down := f.settings.Down()
-	now := f.settings.Now()
+// leave takes the run out of the flight, and looks for a crash if its connection broke.
+func (f *Flight) leave(r *Run, failure *model.Failure) {
 	f.mu.Lock()
-	delete(f.running, id)
-	f.broken = append(f.recent(now), breakage{fingerprint: fingerprint, at: now})
-	if !down {
-		f.mu.Unlock()
+	defer f.mu.Unlock()
+	delete(f.running, r)
+	if failure == nil || failure.Reason != model.UpstreamDied {
 		return
 	}
-	if now.Sub(f.crashedAt) > crashWindow {
+	now := f.settings.Now()
+	f.broken = append(f.recent(now), breakage{run: r, at: now})
+	go f.confirm(r.startedAt, now)
+}
+
+// confirm charges a crash if the upstream is down behind a broken connection.
+func (f *Flight) confirm(startedAt, brokenAt time.Time) {
+	if !f.settings.Down() {
+		time.Sleep(f.settings.Recheck)
+		if !f.settings.Down() {
+			return
+		}
+	}
+	life, suspects := f.charge(startedAt, brokenAt)
+	f.settings.Book.Crashed(brokenAt, f.settings.Self.Name, life, suspects)
+	f.settings.Seen()
+}
+
+// charge returns the crash and all that was in flight at it. A request that started after the last crash
+// shows that the upstream had come back in between.
+func (f *Flight) charge(startedAt, brokenAt time.Time) (model.Incarnation, []model.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if startedAt.After(f.crashedAt) {
 		f.life++
+		f.upSince = f.crashedAt
+		f.crashedAt = brokenAt
 	}
-	f.crashedAt = now
-	life := f.life
-	suspects := f.suspects()
-	f.mu.Unlock()
-	f.settings.Book.Crashed(now, f.settings.Self.Name, life, suspects)
+	return f.life, f.suspects()
 }
 
 // recent drops breakages that are too old to belong to a crash now. The caller holds the lock.
 func (f *Flight) recent(now time.Time) []breakage {
-	for len(f.broken) > 0 && now.Sub(f.broken[0].at) > crashWindow {
+	for len(f.broken) > 0 && now.Sub(f.broken[0].at) > breakWindow {
 		f.broken = f.broken[1:]
 	}
 	return f.broken
@@ -138,18 +166,17 @@
 
 // suspects returns the fingerprints in flight at a crash. The caller holds the lock.
 func (f *Flight) suspects() []model.Fingerprint {
-	var suspects []model.Fingerprint
-	for _, fingerprint := range f.running {
-		if fingerprint != 0 {
-			suspects = append(suspects, fingerprint)
-		}
+	suspects := mapset.NewThreadUnsafeSet[model.Fingerprint]()
+	for r := range f.running {
+		suspects.Add(r.fingerprint)
 	}
 	for _, b := range f.broken {
-		if b.fingerprint != 0 {
-			suspects = append(suspects, b.fingerprint)
+		if b.run.startedAt.After(f.upSince) {
+			suspects.Add(b.run.fingerprint)
 		}
 	}
-	return suspects
+	suspects.Remove(0)
+	return suspects.ToSlice()
 }
 
 func (f *Flight) turnedNow() chan struct{} {
--- /dev/null
+++ b/core/traffic/flight/flight_test.go
@@ -0,0 +1,175 @@
+package flight_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"comfreytack/core/command/poison"
+	"comfreytack/core/model"
+	"comfreytack/core/traffic/flight"
+)
+
+const recheck = 20 * time.Millisecond
+
+var (
+	died = &model.Failure{Verdict: model.MayHaveRun, Reason: model.UpstreamDied}
+	gone = &model.Failure{Verdict: model.MayHaveRun, Reason: model.CallerGone}
+)
+
+// host is a flight with an upstream whose state a test sets.
+type host struct {
+	*testing.T
+	flight *flight.Flight
+	book   *poison.Book
+	// downAt is when the upstream stops to accept connections; nil means never.
+	downAt atomic.Pointer[time.Time]
+}
+
+func (h *host) begin(fingerprint model.Fingerprint) *flight.Run {
+	run, failure := h.flight.Begin(context.Background(), model.Call{Fingerprint: fingerprint})
+	qt.Assert(h, failure == nil, qt.IsTrue)
+	return run
+}
+
+func (h *host) start(fingerprint model.Fingerprint) *flight.Run {
+	run := h.begin(fingerprint)
+	run.Start()
+	return run
+}
+
+func (h *host) goDown(at time.Time) { h.downAt.Store(&at) }
+
+func (h *host) down() bool {
+	at := h.downAt.Load()
+	return at != nil && !time.Now().Before(*at)
+}
+
+// crash lets the upstream die over the given runs and come back.
+func (h *host) crash(runs ...*flight.Run) {
+	h.goDown(time.Now())
+	for _, run := range runs {
+		run.End(died)
+	}
+	time.Sleep(2 * recheck)
+	h.downAt.Store(nil)
+}
+
+func (h *host) suspects() []model.Fingerprint {
+	var suspects []model.Fingerprint
+	for _, evidence := range h.book.Gossip(time.Now()) {
+		if !evidence.Cleared {
+			suspects = append(suspects, evidence.Fingerprint)
+		}
+	}
+	return suspects
+}
+
+func TestFlight(t *testing.T) {
+	tests := []struct {
+		name            string
+		act             func(*host)
+		wantSuspects    []model.Fingerprint
+		wantQuarantined int
+	}{
+		{
+			name:         "a crash is charged to all that ran",
+			act:          func(h *host) { a, b := h.start(1), h.start(2); h.crash(a, b) },
+			wantSuspects: []model.Fingerprint{1, 2},
+		},
+		{
+			name:         "what still waited is not charged",
+			act:          func(h *host) { h.begin(2); h.crash(h.start(1)) },
+			wantSuspects: []model.Fingerprint{1},
+		},
+		{
+			name:         "nor is a request without a fingerprint",
+			act:          func(h *host) { h.crash(h.start(0), h.start(1)) },
+			wantSuspects: []model.Fingerprint{1},
+		},
+		{
+			name: "a connection that closes alone is no crash",
+			act: func(h *host) {
+				h.start(1).End(died)
+				time.Sleep(2 * recheck)
+			},
+		},
+		{
+			name: "a caller that leaves is no crash",
+			act:  func(h *host) { a := h.start(1); h.goDown(time.Now()); a.End(gone); time.Sleep(2 * recheck) },
+		},
+		{
+			name: "an upstream that accepts a moment longer has crashed",
+			act: func(h *host) {
+				h.goDown(time.Now().Add(recheck / 2))
+				h.start(1).End(died)
+				time.Sleep(2 * recheck)
+			},
+			wantSuspects: []model.Fingerprint{1},
+		},
+		{
+			name: "a success clears a suspect",
+			act: func(h *host) {
+				h.crash(h.start(1), h.start(2))
+				h.start(1).End(nil)
+			},
+			wantSuspects: []model.Fingerprint{2},
+		},
+		{
+			name: "two crashes within a second are two",
+			act: func(h *host) {
+				h.crash(h.start(1), h.start(2))
+				h.start(2).End(nil)
+				h.crash(h.start(1))
+			},
+			wantSuspects:    []model.Fingerprint{1, 1},
+			wantQuarantined: 1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHost(t)
+				test.act(h)
+				qt.Assert(t, h.suspects(), qt.ContentEquals, test.wantSuspects)
+				qt.Assert(t, h.book.Quarantined(time.Now()), qt.HasLen, test.wantQuarantined)
+			})
+		})
+	}
+}
+
+// TestSuspectsRunAlone checks that a second suspect waits for the first, without polling.
+func TestSuspectsRunAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(t)
+		h.crash(h.start(1), h.start(2))
+		first := h.start(1)
+		entered := make(chan *flight.Run)
+		go func() { entered <- h.begin(2) }()
+		synctest.Wait()
+		select {
+		case <-entered:
+			t.Fatal("two suspects run at once")
+		default:
+		}
+		first.End(nil)
+		(<-entered).End(nil)
+	})
+}
+
+func newHost(t *testing.T) *host {
+	h := &host{T: t, book: poison.New(poison.DefaultSettings())}
+	h.flight = flight.New(flight.Settings{
+		Self:    model.Upstream{Name: "reservas-1", Incarnation: 1},
+		Book:    h.book,
+		Seen:    func() {},
+		Now:     time.Now,
+		Down:    h.down,
+		Recheck: recheck,
+	})
+	return h
+}
