Answer callers of a stopping daemon until they have closed their connections

Cause: after 2 s of refusing politely a stopping daemon closed idle connections, on which a caller's request could be under way. Changed: it goes on to answer, asking for the connection to be closed, until none is open, for up to 8 s more and a quarter of stop_ms. Found on the way: the connection count took the place of the guard's own hook, so that doubtful framing was refused only in the first request of a connection; no test saw it. TestLaterRequestsOfAConnection does (it failed with the hook missing). It remains: HTTP/1.1 leaves the close of an idle connection and a request on its way unordered.

--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -22,8 +22,13 @@
 	idleTimeout     = 2 * time.Minute
 	maxHeaderBytes  = 64 << 10
 	operatorsStop   = time.Second
-	// stopLinger is how long a stopping daemon still refuses work politely, so that the others hear of it.
-	stopLinger = 2 * time.Second
+	// shortestLinger is how long a stopping daemon still refuses work politely, so that the others hear of it.
+	shortestLinger = 2 * time.Second
+	// longestLinger is how much longer it answers callers who keep their connection open; each answer asks
+	// them to close it. A connection that the daemon closes may have a request on its way.
+	longestLinger = 8 * time.Second
+	// lingerShare bounds each linger to a part of stop_ms.
+	lingerShare = 4
 	// peerListener is the place of the peer port among the listeners, behind those of HTTP servers.
 	peerListener = 3
 )
@@ -49,6 +54,11 @@
 		newServer(closeWhen(&stopping, parts.gate)),
 		newServer(parts.operators),
 	}
+	var callers openConns
+	servers[0].ConnState = func(conn net.Conn, state http.ConnState) {
+		relay.GuardState(conn, state)
+		callers.track(state)
+	}
 	for i, server := range servers {
 		running.Go(func() error { return ignoreClosed(server.Serve(relay.Guard(listeners[i]))) })
 	}
@@ -58,9 +68,10 @@
 	parts.stop()
 	stopping.Store(true)
 	longest := time.Duration(settings.StopMs) * time.Millisecond
-	linger := min(stopLinger, longest/2)
-	time.Sleep(linger)
-	err = shutDown(servers, parts.finish, longest-linger)
+	lingering := time.Now()
+	time.Sleep(min(shortestLinger, longest/lingerShare))
+	callers.wait(min(longestLinger, longest/lingerShare))
+	err = shutDown(servers, parts.finish, longest-time.Since(lingering))
 	stopControl()
 	if waitErr := running.Wait(); err == nil {
 		err = waitErr
--- a/cftd/start/whole_test.go
+++ b/cftd/start/whole_test.go
@@ -249,3 +249,38 @@
 	}
 	qt.Assert(t, leaked.Load(), qt.IsFalse)
 }
+
+// TestLaterRequestsOfAConnection checks that doubtful framing is refused behind an ordinary request too.
+func TestLaterRequestsOfAConnection(t *testing.T) {
+	const head = "POST /svc/reservas/holds HTTP/1.1\r\nHost: a\r\nComfreytack-Customer: police\r\n"
+	tests := []struct {
+		name    string
+		request string
+	}{
+		{name: "both lengths", request: head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		{name: "folded header", request: head + "X-A: b\r\n c\r\nContent-Length: 5\r\n\r\nbed 7"},
+	}
+	f := startFleet(t, 1)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", string(f.daemons[0].Callers))
+			qt.Assert(t, err, qt.IsNil)
+			defer conn.Close()
+			qt.Assert(t, conn.SetDeadline(time.Now().Add(exchangeLimit)), qt.IsNil)
+			reader := bufio.NewReader(conn)
+			for _, step := range []struct {
+				request    string
+				wantStatus int
+			}{
+				{head + "Content-Length: 5\r\n\r\nbed 7", http.StatusOK},
+				{test.request, http.StatusBadRequest},
+			} {
+				_, err := io.WriteString(conn, step.request)
+				qt.Assert(t, err, qt.IsNil)
+				answer, _, err := readFinal(reader, "POST")
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, answer.StatusCode, qt.Equals, step.wantStatus)
+			}
+		})
+	}
+}
