--- a/cftlab/suite/model.go
+++ b/cftlab/suite/model.go
@@ -48,6 +48,8 @@
 	Healthy bool `json:"healthy,omitempty"`
 	// Without leaves out the streams of one class.
 	Without string `json:"without,omitempty"`
+	// OneClass publishes all routes as short, so that short and long work share one queue.
+	OneClass bool `json:"one_class,omitempty"`
 }
 
 // Fault changes one upstream of the first service.
--- a/cftlab/suite/run.go
+++ b/cftlab/suite/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,6 +13,7 @@
 	"comfreytack/cftlab/fleet"
 	"comfreytack/cftlab/loader"
 	"comfreytack/cftlab/tally"
+	"comfreytack/core/model"
 )
 
 // Settings says how to run an experiment.
@@ -61,7 +63,7 @@
 		return Result{}, errors.WithStack(err)
 	}
 	defer os.RemoveAll(folder)
-	site := deploy.Simple(experiment.Services, experiment.Contracts).Place(fleet.NewPorts(os.Getpid()).Next)
+	site := deploy.Simple(experiment.services(variant), experiment.Contracts).Place(fleet.NewPorts(os.Getpid()).Next)
 	running, err := fleet.Launch(ctx, fleet.Settings{
 		Bin: settings.Bin, Folder: folder, Site: site, Flags: variant.Flags,
 	})
@@ -125,6 +127,21 @@
 	return nil
 }
 
+// services returns the services that a variant publishes.
+func (e Experiment) services(variant Variant) []deploy.SimpleService {
+	services := slices.Clone(e.Services)
+	if !variant.OneClass {
+		return services
+	}
+	for index := range services {
+		services[index].Routes = slices.Clone(services[index].Routes)
+		for route := range services[index].Routes {
+			services[index].Routes[route].Class = model.Short
+		}
+	}
+	return services
+}
+
 // faults returns the faults of a variant.
 func (e Experiment) faults(variant Variant) []Fault {
 	if variant.Healthy {
