--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -17,6 +17,7 @@
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/oper"
 	"comfreytack/cftd/relay"
+	"comfreytack/core/command/adapt"
 	"comfreytack/core/command/admit"
 	"comfreytack/core/command/budget"
 	"comfreytack/core/command/class"
@@ -44,6 +45,7 @@
 	upstreamIdle = 4 * time.Second
 	// gateIdle is below idleTimeout, the limit of the gates' own servers.
 	gateIdle      = time.Minute
+	downRecheck   = 20 * time.Millisecond
 	learntClasses = 1024
 	// What a home remembers for each customer.
 	keysPerCustomer        = 1024
@@ -70,8 +72,10 @@
 	log      *slog.Logger
 	self     model.Upstream
 	plane    *controlPlane
-	control  *loop.Loop[daemon.Event, daemon.Effect]
-	meter    *meter.Meter
+	// crashes is shared by the gate, which writes to it, and the control goroutine, which passes it on.
+	crashes *poison.Book
+	control *loop.Loop[daemon.Event, daemon.Effect]
+	meter   *meter.Meter
 	// links holds the connections to other daemons' gates.
 	links  *http.Transport
 	book   *load.Book
@@ -80,13 +84,15 @@
 
 func build(settings setup.Settings, options Options, log *slog.Logger) (*parts, error) {
 	self := selfOf(settings, time.Now())
-	plane := newControl(settings, self, log)
+	crashes := poison.New(poison.DefaultSettings())
+	plane := newControl(settings, self, crashes, log)
 	p := plan{
 		settings: settings,
 		options:  options,
 		log:      log,
 		self:     self,
 		plane:    plane,
+		crashes:  crashes,
 		control:  plane.loop,
 		meter:    meter.New(),
 		links:    relay.NewTransport(gateConnections, gateIdle),
@@ -95,13 +101,23 @@
 	}
 	switch options.Discipline {
 	case "fair":
-		return buildGate(p, admit.NewFair())
+		return buildLimiter(p, admit.NewFair())
 	case "fifo":
-		return buildGate(p, admit.NewFIFO())
+		return buildLimiter(p, admit.NewFIFO())
 	}
 	return nil, errors.Errorf("unknown discipline %q", options.Discipline)
 }
 
+func buildLimiter[D admit.Discipline](p plan, discipline D) (*parts, error) {
+	switch p.options.Limiter {
+	case "fixed":
+		return buildGate(p, discipline, adapt.Fixed{})
+	case "verified":
+		return buildGate(p, discipline, adapt.NewVerified())
+	}
+	return nil, errors.Errorf("unknown limiter %q", p.options.Limiter)
+}
+
 // selfOf describes this daemon. Its incarnation is its start time, so that later lives compare greater.
 func selfOf(settings setup.Settings, started time.Time) model.Upstream {
 	return model.Upstream{
@@ -115,7 +131,7 @@
 	}
 }
 
-func buildGate[D admit.Discipline](p plan, discipline D) (*parts, error) {
+func buildGate[D admit.Discipline, L adapt.Policy](p plan, discipline D, limiter L) (*parts, error) {
 	local := gate.New(gate.Settings{
 		Upstream:  p.settings.Upstream,
 		Transport: relay.NewTransport(upstreamConnections, upstreamIdle),
@@ -125,14 +141,17 @@
 		Classes:   class.New(learntClasses),
 		Flight: flight.New(flight.Settings{
 			Self: p.self,
-			Book: poison.New(poison.DefaultSettings()),
+			Book: p.crashes,
+			Seen: func() { p.control.Post(daemon.CrashSeen{}) },
 			Now:  time.Now,
 			Down: func() bool { return relay.Refuses(p.settings.Upstream) },
+
+			Recheck: downRecheck,
 		}),
 	}, hold.New(hold.Settings{
 		Snapshot: p.control.Snapshot,
 		Now:      time.Now,
-	}, admit.New(firstSlots, discipline)))
+	}, admit.New(firstSlots, discipline), adapt.New(1, firstSlots, limiter)))
 	sending, err := buildSend(p)
 	if err != nil {
 		return nil, err
