Cap stragglers in a limiter's window and settle its baseline sooner

One long run in a window of 64 looked like a slow upstream. The baseline averaged for hundreds of windows at first and so followed a noisy neighbour of a young daemon.

--- a/core/command/adapt/adapt.go
+++ b/core/command/adapt/adapt.go
@@ -13,6 +13,10 @@
 	// that it stays near the unloaded run time through a slow spell and yet follows a lasting change.
 	fallSmoothing = 1.0 / 64
 	riseSmoothing = 1.0 / 512
+	// firstWindows is how many windows the baseline is a plain average of at first.
+	firstWindows = 16
+	// largestRatio caps a sample as a multiple of the baseline, so that one straggler does not make a window.
+	largestRatio = 20
 	// leastSpan keeps the rate of a window finite.
 	leastSpan = time.Millisecond
 )
@@ -90,7 +94,7 @@
 	}
 	l.count++
 	l.idle = l.idle || sample.InFlight < l.Slots()
-	l.total += sample.Held
+	l.total += l.capped(sample.Held)
 	l.window.Peak = max(l.window.Peak, sample.InFlight)
 	if sample.Shed {
 		l.window.Shed++
@@ -102,6 +106,13 @@
 	return l.Slots()
 }
 
+func (l *Limiter[P]) capped(held time.Duration) time.Duration {
+	if l.windows == 0 {
+		return held
+	}
+	return min(held, time.Duration(largestRatio*l.baseline))
+}
+
 // close ends a window.
 func (l *Limiter[P]) close(now time.Time) {
 	mean := float64(l.total) / float64(l.count)
@@ -119,13 +130,15 @@
 	l.total = 0
 }
 
-// follow moves the baseline, which is a plain average over the first windows.
+// follow moves the baseline, which starts as a plain average.
 func (l *Limiter[P]) follow(mean float64) {
 	l.windows++
 	smoothing := riseSmoothing
 	if mean < l.baseline {
 		smoothing = fallSmoothing
 	}
-	smoothing = max(smoothing, 1/float64(l.windows))
+	if l.windows <= firstWindows {
+		smoothing = 1 / float64(l.windows)
+	}
 	l.baseline += smoothing * (mean - l.baseline)
 }
