--- a/cftd/feed/feed.go
+++ b/cftd/feed/feed.go
@@ -72,6 +72,9 @@
 	f.Reads.Add(1)
 	event := daemon.ChangesRead{}
 	got, err := f.get(ctx, read)
+	if ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		f.Failures.Add(1)
 		f.settings.Log.Warn("platform not read", "error", err)
--- a/cftd/peers/fleet_test.go
+++ b/cftd/peers/fleet_test.go
@@ -146,7 +146,8 @@
 func (f *fleet) listeners(n int) []net.Listener {
 	var listeners []net.Listener
 	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		// Outgoing connections come from 127.0.0.1, so they cannot take the port of a member that restarts.
+		listener, err := net.Listen("tcp", "127.0.2.1:0")
 		qt.Assert(f.t, err, qt.IsNil)
 		listeners = append(listeners, listener)
 	}
