--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -68,7 +68,7 @@
 	verdict := model.Ran
 	if failure == nil {
 		relay.Limit(w, call.Deadline)
-		answer, verdict, failure = e.run(ctx, r, &call)
+		answer, verdict, failure = e.run(ctx, w, r, &call)
 	} else {
 		failure = vouch(call, failure)
 	}
@@ -93,7 +93,7 @@
 }
 
 // run returns the answer and how often the request may have run for it.
-func (e *Entry) run(ctx context.Context, r *http.Request, call *model.Call) (*http.Response, model.Verdict, *model.Failure) {
+func (e *Entry) run(ctx context.Context, w http.ResponseWriter, r *http.Request, call *model.Call) (*http.Response, model.Verdict, *model.Failure) {
 	body, err := relay.ReadBody(r)
 	if err != nil {
 		return nil, model.NotRun, vouch(*call, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err})
@@ -104,7 +104,11 @@
 		answer, failure := e.sendKeyed(ctx, *call, c)
 		return answer, model.Ran, failure
 	}
-	return e.attempts(ctx, *call, c)
+	answer, verdict, failure := e.attempts(ctx, *call, c)
+	if failure == nil {
+		relay.Duplex(w, body)
+	}
+	return answer, verdict, failure
 }
 
 // attempts tries the call on upstreams. The verdict covers all attempts, not only the last.
--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -40,6 +40,7 @@
 		relay.WriteFailure(w, failure)
 		return
 	}
+	relay.Duplex(w, body)
 	w.Header().Set(wire.HeaderVerdict, model.Ran.String())
 	w.Header().Set(wire.HeaderReason, model.NoReason.String())
 	if broken := relay.WriteAnswer(w, answer); broken != nil {
--- a/cftd/relay/answer.go
+++ b/cftd/relay/answer.go
@@ -109,14 +109,20 @@
 	return nil
 }
 
-// Limit bounds how long the caller's side may take to send its request and to read the answer. With it the
-// answer may also begin before the whole request was read.
+// Limit bounds how long the caller's side may take to send its request and to read the answer.
 func Limit(w http.ResponseWriter, deadline time.Time) {
 	controller := http.NewResponseController(w)
 	// These fail only on writers that have no connection, such as those of tests.
 	_ = controller.SetReadDeadline(deadline.Add(tellGrace))
 	_ = controller.SetWriteDeadline(deadline.Add(tellGrace))
-	_ = controller.EnableFullDuplex()
+}
+
+// Duplex lets an answer begin while the body of its request is still being sent. Without it the server first
+// reads a small rest of the body, so that its reply is not lost to a reset.
+func Duplex(w http.ResponseWriter, body *Body) {
+	if body.Rest != nil {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 }
 
 func splitList(list string) []string {
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,7 +21,11 @@
 	"comfreytack/core/wire"
 )
 
-const readyTimeout = 10 * time.Second
+const (
+	readyTimeout = 10 * time.Second
+	firstPort    = 12_000
+	ports        = 20_000
+)
 
 // fleet is a few daemons in this process, with stand-ins for platform and upstreams.
 type fleet struct {
@@ -170,11 +175,17 @@
 	})
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address that was free a moment ago. Its port is below those that the system
+// gives to outgoing connections, which could take it before the daemon listens.
 func freeAddress(t *testing.T) model.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer listener.Close()
-	return model.Address(listener.Addr().String())
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		qt.Assert(t, listener.Close(), qt.IsNil)
+		return model.Address(address)
+	}
 }
