--- a/cftlab/fleet/fleet.go
+++ b/cftlab/fleet/fleet.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -24,6 +22,7 @@
 const (
 	readyTimeout = 30 * time.Second
 	readyPolling = 100 * time.Millisecond
+	respawnDelay = 300 * time.Millisecond
 	stopGrace    = 8 * time.Second
 	dirMode      = 0o755
 	fileMode     = 0o644
@@ -39,16 +38,24 @@
 	Site deploy.Site
 	// Flags go to every daemon.
 	Flags []string
-	// UpstreamFlags go to every fake upstream.
-	UpstreamFlags []string
+	// Respawn starts a fake upstream again after it has died by itself.
+	Respawn bool
 }
 
 // Fleet is a running deployment.
 type Fleet struct {
-	settings  Settings
-	platform  *Process
+	settings Settings
+	platform *Process
+
+	mutex     sync.Mutex
 	upstreams map[model.UpstreamName]*Process
 	daemons   map[model.UpstreamName]*Process
+	// respawns counts those that are being started again.
+	respawns sync.WaitGroup
+	// stopping rules out that anything is started again.
+	stopping bool
+	// deaths counts the upstreams that have died by themselves.
+	deaths int
 }
 
 // Launch starts all processes and waits until every daemon is ready. When it fails, none is left.
@@ -73,10 +80,10 @@
 		return err
 	}
 	for _, place := range f.settings.Site.Places {
-		if err := f.startUpstream(place); err != nil {
+		if err := f.StartUpstream(place); err != nil {
 			return err
 		}
-		if err := f.startDaemon(place); err != nil {
+		if err := f.StartDaemon(place); err != nil {
 			return err
 		}
 	}
@@ -114,7 +121,8 @@
 	return err
 }
 
-func (f *Fleet) startUpstream(place deploy.Place) error {
+// StartUpstream starts a fake upstream, or starts it again after its end.
+func (f *Fleet) StartUpstream(place deploy.Place) error {
 	name := place.Daemon.Name
 	args := []string{
 		"upstream",
@@ -124,15 +132,19 @@
 		"--connections", fmt.Sprint(place.Connections),
 		"--run-log", f.runLog(name),
 	}
-	args = append(args, f.settings.UpstreamFlags...)
 	process, err := start("upstream-"+string(name), f.settings.Folder, filepath.Join(f.settings.Bin, "cftlab"), args...)
-	if err == nil {
-		f.upstreams[name] = process
+	if err != nil {
+		return err
 	}
-	return err
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.upstreams[name] = process
+	go f.watch(place, process)
+	return nil
 }
 
-func (f *Fleet) startDaemon(place deploy.Place) error {
+// StartDaemon starts a daemon, or starts it again after its end; it does not wait until it is ready.
+func (f *Fleet) StartDaemon(place deploy.Place) error {
 	name := place.Daemon.Name
 	path := filepath.Join(f.settings.Folder, string(name)+".json")
 	if err := writeJSON(path, place.Daemon); err != nil {
@@ -140,10 +152,13 @@
 	}
 	args := append([]string{"--settings", path}, f.settings.Flags...)
 	process, err := start("daemon-"+string(name), f.settings.Folder, filepath.Join(f.settings.Bin, "cftd"), args...)
-	if err == nil {
-		f.daemons[name] = process
+	if err != nil {
+		return err
 	}
-	return err
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.daemons[name] = process
+	return nil
 }
 
 func (f *Fleet) runLog(name model.UpstreamName) string {
@@ -190,32 +205,39 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// Switch changes faults of a fake upstream.
-func (f *Fleet) Switch(ctx context.Context, place deploy.Place, change stub.Change) error {
-	body, err := json.Marshal(change)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	address := "http://" + string(place.Control) + "/control"
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(response.Body)
-		return errors.Errorf("%s: %s %s", address, response.Status, text)
+// Usage returns the resident memory in bytes and the processor time of a daemon.
+func (f *Fleet) Usage(place deploy.Place) (int64, time.Duration, error) {
+	return f.daemon(place).Usage()
+}
+
+// Deaths returns how many upstreams have died by themselves.
+func (f *Fleet) Deaths() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.deaths
+}
+
+// watch starts an upstream again when it has died by itself.
+func (f *Fleet) watch(place deploy.Place, process *Process) {
+	<-process.ended
+	if process.asked.Load() || !f.countDeath() {
+		return
 	}
-	return nil
+	defer f.respawns.Done()
+	time.Sleep(respawnDelay)
+	_ = f.StartUpstream(place) // its absence shows in the results
 }
 
-// KillUpstream ends a fake upstream at once; its daemon stays.
-func (f *Fleet) KillUpstream(place deploy.Place) {
-	f.upstreams[place.Daemon.Name].Kill()
+// countDeath says whether to start the upstream again; then a respawn is under way.
+func (f *Fleet) countDeath() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.deaths++
+	if f.stopping || !f.settings.Respawn {
+		return false
+	}
+	f.respawns.Add(1)
+	return true
 }
 
 // Runs returns the runs of all upstreams, dead ones too.
@@ -262,6 +284,10 @@
 // Stop ends all processes: first the daemons, which finish what is in flight, then what they need.
 // It returns the names of those that had to be killed.
 func (f *Fleet) Stop() []string {
+	f.mutex.Lock()
+	f.stopping = true
+	f.mutex.Unlock()
+	f.respawns.Wait()
 	others := []*Process{}
 	for _, upstream := range f.upstreams {
 		others = append(others, upstream)
--- a/cftlab/tally/tally.go
+++ b/cftlab/tally/tally.go
@@ -88,19 +88,19 @@
 
 func (r *Row) count(record loader.Record) {
 	switch {
-	case record.Verdict == model.NotRun:
-		r.NotRun++
-	case record.Verdict == model.MayHaveRun:
-		r.MayHaveRun++
 	case record.Wrong:
 		r.Wrong++
-	case !record.Served():
-		r.Failed++
-	default:
+	case record.Served():
 		r.Served++
 		if record.Latency <= record.Deadline {
 			r.InTime++
 		}
+	case record.Verdict == model.NotRun:
+		r.NotRun++
+	case record.Verdict == model.MayHaveRun:
+		r.MayHaveRun++
+	default:
+		r.Failed++
 	}
 }
 
@@ -125,8 +125,9 @@
 
 // Totals is what a whole run of load comes to.
 type Totals struct {
-	Sent       int `json:"sent"`
-	Served     int `json:"served"`
+	Sent   int `json:"sent"`
+	Served int `json:"served"`
+	// NotRun and MayHaveRun count verdicts of sends that were not served.
 	NotRun     int `json:"not_run"`
 	MayHaveRun int `json:"may_have_run"`
 	// WrongAnswer counts answers that belong to no or another request, and answers without a run.
@@ -137,7 +138,7 @@
 	FalseNotRun int `json:"false_not_run"`
 	// Stray counts runs whose id nobody sent.
 	Stray int `json:"stray"`
-	// LaterNotRun counts sends with the verdict not_run whose work ran in another send.
+	// LaterNotRun counts sends with the verdict not_run whose work ran in an earlier send.
 	LaterNotRun int `json:"later_not_run"`
 }
 
@@ -154,6 +155,7 @@
 	}
 	ranIDs := map[string]int{}
 	ranWorks := map[string]int{}
+	firstRun := map[string]time.Duration{}
 	totals := Totals{}
 	for _, run := range runs {
 		record, known := byID[run.ID]
@@ -163,12 +165,18 @@
 		}
 		ranIDs[run.ID]++
 		ranWorks[record.Work]++
+		if at, ran := firstRun[record.Work]; !ran || record.Intended < at {
+			firstRun[record.Work] = record.Intended
+		}
 		if !record.Idempotent && ranWorks[record.Work] == 2 {
 			totals.RanTwice++
 		}
 	}
 	for _, record := range records {
 		totals.add(record, ranIDs[record.ID], ranWorks[record.Work])
+		if at, ran := firstRun[record.Work]; ran && record.Verdict == model.NotRun && at < record.Intended {
+			totals.LaterNotRun++
+		}
 	}
 	return totals
 }
@@ -176,24 +184,18 @@
 // add counts one send, given how often its id and its work ran.
 func (t *Totals) add(record loader.Record, ranID, ranWork int) {
 	t.Sent++
-	switch record.Verdict {
-	case model.NotRun:
+	switch {
+	case record.Served():
+		t.Served++
+	case record.Verdict == model.NotRun:
 		t.NotRun++
-	case model.MayHaveRun:
+	case record.Verdict == model.MayHaveRun:
 		t.MayHaveRun++
 	}
-	if record.Served() {
-		t.Served++
-	}
 	if record.Wrong || (record.Served() && ranWork == 0) {
 		t.WrongAnswer++
 	}
-	if record.Verdict != model.NotRun {
-		return
-	}
-	if ranID > 0 {
+	if record.Verdict == model.NotRun && ranID > 0 {
 		t.FalseNotRun++
-	} else if ranWork > 0 {
-		t.LaterNotRun++
 	}
 }
--- a/cftlab/verbs/verbs.go
+++ b/cftlab/verbs/verbs.go
@@ -46,9 +46,11 @@
 		upstreamVerb,
 		platformVerb,
 		demoVerb,
+		faultsVerb,
 		loadVerb,
 		addedVerb,
 		compareVerb,
+		idleVerb,
 	}
 }
 
--- a/core/command/admit/gate_test.go
+++ b/core/command/admit/gate_test.go
@@ -1,6 +1,8 @@
 package admit_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,7 +17,9 @@
 // walk drives a gate by random steps and knows what state each ticket is in.
 type walk[D admit.Discipline] struct {
 	testing.TB
-	gate    *admit.Gate[D]
+	gate *admit.Gate[D]
+	// full is the number of slots that the limits were made for.
+	full    int
 	now     time.Time
 	last    uint64
 	waiting map[uint64]admit.Ticket
@@ -26,17 +30,20 @@
 	"a": {Customer: "a", Weight: 1},
 	"b": {Customer: "b", Weight: 5},
 	"c": {Customer: "c", Weight: 1, Tier: model.Background},
+	"d": {Customer: "d", Weight: 2},
+	"e": {Customer: "e", Weight: 1},
 }
 
-func newWalk[D admit.Discipline](t testing.TB, discipline D) *walk[D] {
+func newWalk[D admit.Discipline](t testing.TB, full int, discipline D) *walk[D] {
 	w := &walk[D]{
 		TB:      t,
-		gate:    admit.New(slots, discipline),
+		gate:    admit.New(full, discipline),
+		full:    full,
 		now:     epoch,
 		waiting: map[uint64]admit.Ticket{},
 		running: map[uint64]admit.Ticket{},
 	}
-	w.take(w.gate.SetLimits(epoch, slots, limits.Of(walkContracts, slots)))
+	w.take(w.gate.SetLimits(epoch, full, limits.Of(walkContracts, full)))
 	return w
 }
 
@@ -44,9 +51,9 @@
 	w.last++
 	ticket := admit.Ticket{
 		ID:       w.last,
-		Customer: rapid.SampledFrom([]model.Customer{"a", "b", "c"}).Draw(r, "customer"),
+		Customer: rapid.SampledFrom([]model.Customer{"a", "b", "c", "d", "e"}).Draw(r, "customer"),
 		Class:    model.Class(rapid.IntRange(0, 1).Draw(r, "class")),
-		Deadline: w.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(r, "deadline")) * ms),
+		Deadline: w.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(r, "deadline")) * ms),
 	}
 	ticket.Tier = walkContracts[ticket.Customer].Tier
 	w.waiting[ticket.ID] = ticket
@@ -59,24 +66,31 @@
 	case 0, 1, 2, 3, 4, 5:
 		w.arrive(r)
 	case 6, 7, 8:
-		w.finish(rapid.Uint64Range(1, w.last+1).Draw(r, "finish"))
+		w.finish(w.pick(r, w.running))
 	case 9:
-		id := rapid.Uint64Range(1, w.last+1).Draw(r, "cancel")
+		id := w.pick(r, w.waiting)
 		_, waits := w.waiting[id]
 		qt.Assert(w, w.gate.Cancel(id), qt.Equals, waits)
 		delete(w.waiting, id)
 	case 10:
-		w.take(w.gate.Resize(w.now, rapid.IntRange(1, slots).Draw(r, "slots")))
+		w.take(w.gate.Resize(w.now, rapid.IntRange(1, w.full).Draw(r, "slots")))
 	case 11:
 		w.now = w.now.Add(time.Duration(rapid.IntRange(0, 50).Draw(r, "elapse")) * ms)
 	case 12:
-		id := rapid.Uint64Range(1, w.last+1).Draw(r, "abandon")
+		id := w.pick(r, w.running)
 		_, runs := w.running[id]
 		qt.Assert(w, w.gate.Abandon(id), qt.Equals, runs)
 	}
 	w.take(w.gate.Expire(w.now))
 }
 
+// pick returns one of the tickets, or now and then one that may not be among them.
+func (w *walk[D]) pick(r *rapid.T, tickets map[uint64]admit.Ticket) uint64 {
+	ids := slices.Sorted(maps.Keys(tickets))
+	ids = append(ids, w.last)
+	return rapid.SampledFrom(ids).Draw(r, "ticket")
+}
+
 func (w *walk[D]) finish(id uint64) {
 	delete(w.running, id)
 	w.take(w.gate.Finish(w.now, id))
@@ -105,7 +119,7 @@
 	for _, other := range w.running {
 		long += int(other.Class)
 	}
-	qt.Assert(w, ticket.Class == model.Short || long < max(1, slots/3), qt.IsTrue)
+	qt.Assert(w, ticket.Class == model.Short || long < max(1, w.full/3), qt.IsTrue)
 	w.running[ticket.ID] = ticket
 }
 
@@ -124,12 +138,12 @@
 }
 
 func walkGate[D admit.Discipline](t testing.TB, r *rapid.T, discipline D) {
-	w := newWalk(t, discipline)
+	w := newWalk(t, rapid.IntRange(1, slots).Draw(r, "full"), discipline)
 	for range rapid.IntRange(1, 200).Draw(r, "steps") {
 		w.step(r)
 		w.settled()
 	}
-	w.take(w.gate.Resize(w.now, slots))
+	w.take(w.gate.Resize(w.now, w.full))
 	for len(w.running) > 0 {
 		for id := range w.running {
 			w.finish(id)
@@ -155,58 +169,124 @@
 	}
 }
 
-func TestArrivalAndDeadlines(t *testing.T) {
-	deadline := epoch.Add(time.Second)
-	short := func(id uint64) admit.Ticket { return admit.Ticket{ID: id, Customer: "a", Deadline: deadline} }
+// door is what the two disciplines' gates have in common.
+type door interface {
+	Arrive(now time.Time, ticket admit.Ticket) admit.Decision
+	Finish(now time.Time, id uint64) []admit.Decision
+}
+
+// arriveMany sends tickets of customer a at a fresh gate and returns the last decision.
+func arriveMany(gate door, at time.Time, from, until uint64, class model.Class) admit.Decision {
+	var last admit.Decision
+	for id := from; id <= until; id++ {
+		last = gate.Arrive(at, admit.Ticket{ID: id, Customer: "a", Class: class, Deadline: epoch.Add(time.Second)})
+	}
+	return last
+}
+
+func TestArrival(t *testing.T) {
 	tests := []struct {
-		name string
-		act  func(gate *admit.Gate[*admit.Fair]) admit.Decision
-		want admit.Decision
+		name  string
+		slots int
+		act   func(gate door) admit.Decision
+		want  admit.Decision
+		// fifo is the decision of the baseline.
+		fifo admit.Decision
 	}{
 		{
-			name: "no contract",
-			act: func(gate *admit.Gate[*admit.Fair]) admit.Decision {
-				return gate.Arrive(epoch, admit.Ticket{ID: 1, Customer: "stranger", Deadline: deadline})
+			name:  "no contract",
+			slots: 1,
+			act: func(gate door) admit.Decision {
+				return gate.Arrive(epoch, admit.Ticket{ID: 1, Customer: "stranger", Deadline: epoch.Add(time.Second)})
 			},
 			want: admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.NoContract},
+			fifo: admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.NoContract},
 		},
 		{
-			name: "deadline already past",
-			act: func(gate *admit.Gate[*admit.Fair]) admit.Decision {
-				return gate.Arrive(deadline, short(1))
-			},
-			want: admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.TooLate},
+			name:  "deadline already past",
+			slots: 1,
+			act:   func(gate door) admit.Decision { return arriveMany(gate, epoch.Add(time.Second), 1, 1, model.Short) },
+			want:  admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.TooLate},
+			fifo:  admit.Decision{Ticket: 1, Action: admit.Refuse, Reason: model.TooLate},
 		},
 		{
-			name: "expected wait passes the deadline",
-			act: func(gate *admit.Gate[*admit.Fair]) admit.Decision {
-				gate.Arrive(epoch, short(1))
+			name:  "one slot and sixteen places in the queue",
+			slots: 1,
+			act:   func(gate door) admit.Decision { return arriveMany(gate, epoch, 1, 18, model.Short) },
+			want:  admit.Decision{Ticket: 18, Action: admit.Refuse, Reason: model.QueueFull},
+			fifo:  admit.Decision{Ticket: 18, Action: admit.Refuse, Reason: model.QueueFull},
+		},
+		{
+			name:  "expected wait passes the deadline",
+			slots: 1,
+			act: func(gate door) admit.Decision {
+				arriveMany(gate, epoch, 1, 1, model.Short)
 				gate.Finish(epoch.Add(600*ms), 1)
-				gate.Arrive(epoch.Add(600*ms), short(2))
-				return gate.Arrive(epoch.Add(600*ms), short(3))
+				return arriveMany(gate, epoch.Add(600*ms), 2, 3, model.Short)
 			},
 			// The wait is 600 ms, and 600 ms with twice their deviation of 300 ms follow.
 			want: admit.Decision{Ticket: 3, Action: admit.Refuse, Reason: model.TooLate, RetryAfter: 1400 * ms},
+			fifo: admit.Decision{Ticket: 3, Action: admit.Refuse, Reason: model.TooLate, RetryAfter: 1400 * ms},
+		},
+		{
+			name:  "long work does not fill the queue of short work",
+			slots: 1,
+			act: func(gate door) admit.Decision {
+				arriveMany(gate, epoch, 1, 40, model.Long)
+				return arriveMany(gate, epoch, 41, 41, model.Short)
+			},
+			want: admit.Decision{Ticket: 41, Action: admit.Wait},
+			fifo: admit.Decision{Ticket: 41, Action: admit.Refuse, Reason: model.QueueFull},
 		},
 		{
-			name: "long work of the same customer does not fill the queue of short work",
-			act: func(gate *admit.Gate[*admit.Fair]) admit.Decision {
-				gate.Arrive(epoch, short(1))
-				for id := uint64(2); id < 40; id++ {
-					long := short(id)
-					long.Class = model.Long
-					gate.Arrive(epoch, long)
-				}
-				return gate.Arrive(epoch, short(40))
+			name:  "short work that overruns takes up a slot for long work",
+			slots: 4,
+			act: func(gate door) admit.Decision {
+				arriveMany(gate, epoch, 1, 2, model.Short)
+				gate.Finish(epoch.Add(5*ms), 1)
+				return arriveMany(gate, epoch.Add(51*ms), 3, 3, model.Long)
 			},
-			want: admit.Decision{Ticket: 40, Action: admit.Wait},
+			want: admit.Decision{Ticket: 3, Action: admit.Wait},
+			fifo: admit.Decision{Ticket: 3, Action: admit.Wait},
 		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			gate := admit.New(1, admit.NewFair())
-			gate.SetLimits(epoch, 1, limits.Of(contracts(map[model.Customer]int{"a": 1}), 1))
-			qt.Assert(t, test.act(gate), qt.Equals, test.want)
+			made := limits.Of(contracts(map[model.Customer]int{"a": 1}), test.slots)
+			fair := admit.New(test.slots, admit.NewFair())
+			fair.SetLimits(epoch, test.slots, made)
+			qt.Check(t, test.act(fair), qt.Equals, test.want)
+			fifo := admit.New(test.slots, admit.NewFIFO())
+			fifo.SetLimits(epoch, test.slots, made)
+			qt.Check(t, test.act(fifo), qt.Equals, test.fifo)
+		})
+	}
+}
+
+func TestOverruns(t *testing.T) {
+	tests := []struct {
+		name string
+		// later is when a fourth ticket, started at 6 ms, finishes; zero for never.
+		later time.Duration
+		want  []uint64
+	}{
+		{name: "later short work ended", later: 10 * ms, want: []uint64{2, 3}},
+		{name: "the upstream stands still", want: nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			gate := gateOf(admit.NewFair(), map[model.Customer]int{"a": 1})
+			arriveMany(gate, epoch, 1, 3, model.Short)
+			gate.Finish(epoch.Add(5*ms), 1)
+			arriveMany(gate, epoch.Add(6*ms), 4, 4, model.Short)
+			if test.later > 0 {
+				gate.Finish(epoch.Add(test.later), 4)
+			}
+			arriveMany(gate, epoch.Add(60*ms), 5, 5, model.Short)
+			got := gate.TakeOverruns()
+			slices.Sort(got)
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+			qt.Assert(t, gate.TakeOverruns(), qt.HasLen, 0)
 		})
 	}
 }
