--- a/cftd/start/keyed_test.go
+++ b/cftd/start/keyed_test.go
@@ -116,6 +116,7 @@
 
 // TestSendsOfAKey sends each key through several daemons, one send after another.
 func TestSendsOfAKey(t *testing.T) {
+	t.Parallel()
 	const (
 		own   = "" // a key that the first daemon issued
 		uuid  = "7b1c2c9e-0f4e-4a53-9f0e-5f4d1f6f7a10"
@@ -174,6 +175,7 @@
 
 // TestRefusedSends has a key whose sends the upstreams shed: a higher number may run, the same may not.
 func TestRefusedSends(t *testing.T) {
+	t.Parallel()
 	c, f := startCounter(t)
 	key := takeKeys(t, f.daemons[0], 1)[0]
 	first := sendKeyed(t.Context(), f.daemons[1], key, 1, "sheds")
@@ -189,6 +191,7 @@
 
 // TestSendsWhileRunning sends a key ten times at once, and has its first caller give up.
 func TestSendsWhileRunning(t *testing.T) {
+	t.Parallel()
 	const sends = 10
 	c, f := startCounter(t)
 	key := takeKeys(t, f.daemons[0], 1)[0]
@@ -212,6 +215,7 @@
 
 // TestRequestsForKeys asks a daemon of the service, and one of another service, which has to forward.
 func TestRequestsForKeys(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name       string
 		query      string
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -6,11 +6,12 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,16 +26,21 @@
 	readyTimeout = 10 * time.Second
 	firstPort    = 12_000
 	ports        = 20_000
+
+	portsPerProcess = 200
 	// stopMs leaves time for connections that never carried a request, which the server waits 5 s for.
 	stopMs = 10_000
 )
 
+var portsTaken atomic.Int64
+
 // fleet is a few daemons in this process, with stand-ins for platform and upstreams.
 type fleet struct {
 	daemons []setup.Settings
 }
 
 func TestPathOfACall(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2)
 	tests := []struct {
 		name        string
@@ -182,7 +188,9 @@
 func freeAddress(t *testing.T) model.Address {
 	t.Helper()
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		// No two tests of this process get the same port, and those of others rarely do.
+		offset := os.Getpid()*portsPerProcess + int(portsTaken.Add(1))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset%ports)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/cftd/start/stream_test.go
+++ b/cftd/start/stream_test.go
@@ -23,6 +23,7 @@
 
 // TestLargeBodies streams bodies both ways through both hops and compares them by hash.
 func TestLargeBodies(t *testing.T) {
+	t.Parallel()
 	upstream := startRaw(t, func(conn net.Conn, r *http.Request) bool {
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 		buffer := make([]byte, 10_000)
@@ -80,6 +81,7 @@
 // TestEarlyAnswer has an upstream that refuses a body without reading it, and a caller that sends the rest
 // only after the answer.
 func TestEarlyAnswer(t *testing.T) {
+	t.Parallel()
 	upstream := startRaw(t, func(conn net.Conn, _ *http.Request) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 413 Content Too Large\r\nContent-Length: 3\r\nConnection: close\r\n\r\nbig")
 		// A close with bytes unread would be a reset, which may overtake the answer.
@@ -101,6 +103,7 @@
 // TestCallerThatBreaksOff has callers that leave in the middle of sending or reading. The upstream must not
 // take a part for the whole, and must be let go.
 func TestCallerThatBreaksOff(t *testing.T) {
+	t.Parallel()
 	const head = "POST /svc/reservas/holds HTTP/1.1\r\nHost: a\r\nComfreytack-Customer: police\r\nComfreytack-Deadline-Ms: 500\r\n"
 	tests := []struct {
 		name    string
--- a/cftd/start/whole_test.go
+++ b/cftd/start/whole_test.go
@@ -110,6 +110,7 @@
 }
 
 func TestAnswersOfUpstreams(t *testing.T) {
+	t.Parallel()
 	const head = "HTTP/1.1 200 OK\r\n"
 	tests := []answerCase{
 		{name: "length", answer: head + "Content-Length: 2\r\n\r\nok", wantStatus: 200, wantVerdict: "ran", wantBody: "ok"},
@@ -193,6 +194,7 @@
 
 // TestRequestsOfCallers checks what callers are told for requests whose framing is doubtful.
 func TestRequestsOfCallers(t *testing.T) {
+	t.Parallel()
 	const head = "POST /svc/reservas/holds HTTP/1.1\r\nHost: a\r\nComfreytack-Customer: police\r\n"
 	tests := []struct {
 		name       string
