--- a/cftd/start/keyed_test.go
+++ b/cftd/start/keyed_test.go
@@ -59,11 +59,16 @@
 }
 
 func startCounter(t *testing.T) (*counter, *fleet) {
+	t.Helper()
+	return startCounterBy(t, startDaemon)
+}
+
+func startCounterBy(t *testing.T, start func(*testing.T, setup.Settings)) (*counter, *fleet) {
 	t.Helper()
 	c := &counter{executions: map[string]int{}, release: make(chan struct{})}
 	server := httptest.NewServer(c)
 	t.Cleanup(server.Close)
-	return c, startFleetOf(t, 3, model.Address(strings.TrimPrefix(server.URL, "http://")))
+	return c, startFleetBy(t, 3, model.Address(strings.TrimPrefix(server.URL, "http://")), start)
 }
 
 func takeKeys(t *testing.T, settings setup.Settings, count int) []string {
@@ -108,7 +113,7 @@
 	if err != nil {
 		return told{reason: err.Error()}
 	}
-	if len(text) > 30 {
+	if len(text) > 30 || answer.StatusCode != http.StatusOK {
 		text = nil
 	}
 	return told{answer.StatusCode, answer.Header.Get(wire.HeaderVerdict), answer.Header.Get(wire.HeaderReason), string(text)}
@@ -163,9 +168,6 @@
 			}
 			for _, s := range test.sends {
 				got := sendKeyed(t.Context(), f.daemons[s.daemon], key, s.number, s.body)
-				if got.status != http.StatusOK {
-					got.body = ""
-				}
 				qt.Check(t, got, qt.Equals, s.want)
 			}
 			qt.Check(t, c.count(test.sends[0].body), qt.Equals, test.wantExecutions)
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -90,6 +90,11 @@
 }
 
 func startFleetOf(t *testing.T, size int, upstream model.Address) *fleet {
+	t.Helper()
+	return startFleetBy(t, size, upstream, startDaemon)
+}
+
+func startFleetBy(t *testing.T, size int, upstream model.Address, start func(*testing.T, setup.Settings)) *fleet {
 	t.Helper()
 	f := &fleet{}
 	service := model.Service{Name: "reservas", Slots: 10, Connections: 250, ShedStatus: http.StatusServiceUnavailable}
@@ -114,7 +119,7 @@
 	t.Cleanup(platform.Close)
 	for i := range f.daemons {
 		f.daemons[i].Platform = []model.Address{model.Address(strings.TrimPrefix(platform.URL, "http://"))}
-		startDaemon(t, f.daemons[i])
+		start(t, f.daemons[i])
 	}
 	return f
 }
--- /dev/null
+++ b/cftd/start/process_test.go
@@ -0,0 +1,166 @@
+package start
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"comfreytack/core/model"
+	"comfreytack/core/setup"
+)
+
+// daemonVariable makes this test binary run as a daemon.
+const daemonVariable = "COMFREYTACK_TEST_DAEMON"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(daemonVariable) != "" {
+		os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// processes are daemons of their own, which can be killed and paused.
+type processes struct {
+	mu      sync.Mutex
+	running map[model.UpstreamName]*exec.Cmd
+}
+
+func (p *processes) start(t *testing.T, settings setup.Settings) {
+	t.Helper()
+	text, err := json.Marshal(settings)
+	qt.Assert(t, err, qt.IsNil)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	qt.Assert(t, os.WriteFile(file, text, 0o600), qt.IsNil)
+	command := exec.Command(os.Args[0], "--settings", file)
+	command.Env = append(os.Environ(), daemonVariable+"=1")
+	qt.Assert(t, command.Start(), qt.IsNil)
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	p.mu.Lock()
+	p.running[settings.Name] = command
+	p.mu.Unlock()
+	waitReady(t, settings)
+}
+
+func (p *processes) signal(t *testing.T, settings setup.Settings, signal syscall.Signal) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	command := p.running[settings.Name]
+	qt.Assert(t, command.Process.Signal(signal), qt.IsNil)
+	if signal == syscall.SIGKILL {
+		_ = command.Wait()
+	}
+}
+
+// scene is a fleet of processes with a key of the first daemon and the request that uses it.
+type scene struct {
+	*processes
+	counter *counter
+	home    setup.Settings
+	entry   setup.Settings
+	other   setup.Settings
+	key     string
+}
+
+// send starts a send of the scene's request and returns where its outcome arrives.
+func (s *scene) send(t *testing.T, entry setup.Settings, number int, body string) chan told {
+	t.Helper()
+	outcome := make(chan told, 1)
+	go func() { outcome <- sendKeyed(t.Context(), entry, s.key, number, body) }()
+	return outcome
+}
+
+// running starts the first send through the entry and waits until the upstream runs it.
+func (s *scene) running(t *testing.T) chan told {
+	t.Helper()
+	outcome := s.send(t, s.entry, 1, "slow")
+	eventually(t, func() bool { return s.counter.count("slow") == 1 })
+	return outcome
+}
+
+// TestProcessesThatFail kills and pauses daemons at the steps of a keyed call. In each scene the request must
+// run at most once, and what callers are told must be true.
+func TestProcessesThatFail(t *testing.T) {
+	homeLost := told{502, "may_have_run", "home_lost", ""}
+	ran := told{200, "ran", "none", "slow run 1"}
+	tests := []struct {
+		name  string
+		scene func(t *testing.T, s *scene)
+		want  int
+	}{
+		{name: "home killed before the first send", want: 0, scene: func(t *testing.T, s *scene) {
+			s.signal(t, s.home, syscall.SIGKILL)
+			qt.Check(t, <-s.send(t, s.entry, 1, "slow"), qt.Equals, told{502, "not_run", "home_lost", ""})
+			qt.Check(t, <-s.send(t, s.entry, 0, "slow"), qt.Equals, homeLost)
+		}},
+		{name: "home killed while the request runs", want: 1, scene: func(t *testing.T, s *scene) {
+			first := s.running(t)
+			s.signal(t, s.home, syscall.SIGKILL)
+			qt.Check(t, <-first, qt.Equals, homeLost)
+			qt.Check(t, <-s.send(t, s.other, 2, "slow"), qt.Equals, homeLost)
+			s.start(t, s.home)
+			qt.Check(t, <-s.send(t, s.other, 3, "slow"), qt.Equals, homeLost)
+			qt.Check(t, <-s.send(t, s.home, 4, "slow"), qt.Equals, homeLost)
+		}},
+		{name: "entry killed while the request runs", want: 1, scene: func(t *testing.T, s *scene) {
+			first := s.running(t)
+			s.signal(t, s.entry, syscall.SIGKILL)
+			qt.Check(t, (<-first).status, qt.Equals, 0)
+			second := s.send(t, s.other, 2, "slow")
+			close(s.counter.release)
+			// The home may have sent the run through the gate of the daemon that was killed.
+			gateLost := told{502, "may_have_run", "gate_lost", ""}
+			qt.Check(t, []told{ran, gateLost}, qt.Contains, <-second)
+		}},
+		{name: "home paused across the deadline before it sees the request", want: 1, scene: func(t *testing.T, s *scene) {
+			close(s.counter.release)
+			s.signal(t, s.home, syscall.SIGSTOP)
+			first := <-s.send(t, s.entry, 1, "slow")
+			s.signal(t, s.home, syscall.SIGCONT)
+			qt.Check(t, first.verdict, qt.Equals, "may_have_run")
+			time.Sleep(200 * time.Millisecond)
+			// The woken home may still be checking itself; a later send runs then.
+			number := 1
+			eventually(t, func() bool {
+				number++
+				return <-s.send(t, s.other, number, "slow") == ran
+			})
+		}},
+		{name: "home paused across the deadline while the request runs", want: 1, scene: func(t *testing.T, s *scene) {
+			first := s.running(t)
+			s.signal(t, s.home, syscall.SIGSTOP)
+			qt.Check(t, (<-first).verdict, qt.Equals, "may_have_run")
+			close(s.counter.release)
+			s.signal(t, s.home, syscall.SIGCONT)
+			qt.Check(t, <-s.send(t, s.other, 2, "slow"), qt.Equals, ran)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := &scene{processes: &processes{running: map[model.UpstreamName]*exec.Cmd{}}}
+			c, f := startCounterBy(t, s.start)
+			s.counter, s.home, s.entry, s.other = c, f.daemons[0], f.daemons[1], f.daemons[2]
+			s.key = takeKeys(t, s.home, 1)[0]
+			t.Cleanup(func() {
+				select {
+				case <-c.release:
+				default:
+					close(c.release)
+				}
+			})
+			test.scene(t, s)
+			qt.Check(t, c.count("slow"), qt.Equals, test.want)
+		})
+	}
+}
