Let a keyed run outlast its caller's deadline at any gate

Cause: a home that ran a keyed call through another daemon's gate passed on the caller's deadline, so that the run was cut off there and its outcome lost; at its own gate it went on (seen as a test that failed when the other gate was chosen). Chosen: a call has a deadline to start by and an end for a run that has started; the gate waits at most until the first. Ruled out: a later deadline for both, which would keep work in queues whose caller has left.

--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -58,13 +58,8 @@
 // Run waits for a slot and sends the request to the upstream. Closing the answer's body frees the slot.
 func (g *Gate[H]) Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	call.Class = max(call.Class, g.classOf(call))
-	run, failure := g.settings.Flight.Begin(ctx, call)
-	if failure != nil {
-		return nil, failure
-	}
-	slot, failure := g.hold.Enter(ctx, call)
+	run, slot, failure := g.enter(ctx, call)
 	if failure != nil {
-		run.End(failure)
 		return nil, failure
 	}
 	run.Start()
@@ -113,6 +108,22 @@
 	g.settings.Classes.Ran(service, call.Method, call.Path, held, mean)
 }
 
+// enter waits until the request may go to the upstream, at most until its deadline.
+func (g *Gate[H]) enter(ctx context.Context, call model.Call) (*flight.Run, hold.Slot, *model.Failure) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	run, failure := g.settings.Flight.Begin(ctx, call)
+	if failure != nil {
+		return nil, hold.Slot{}, failure
+	}
+	slot, failure := g.hold.Enter(ctx, call)
+	if failure != nil {
+		run.End(failure)
+		return nil, hold.Slot{}, failure
+	}
+	return run, slot, nil
+}
+
 func (g *Gate[H]) trip(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	request.Address = g.settings.Upstream
 	wire.DropOwn(request.Header)
--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -23,8 +23,8 @@
 			relay.WriteFailure(w, failure)
 			return
 		}
-		relay.Limit(w, call.Deadline)
-		ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+		relay.Limit(w, call.End())
+		ctx, cancel := context.WithDeadline(r.Context(), call.End())
 		defer cancel()
 		serve(ctx, w, r, g, call)
 	})
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -26,12 +26,23 @@
 	Send int
 	// Deadline is when the caller stops waiting; never zero.
 	Deadline time.Time
+	// RunUntil is when a run that has started is given up; zero means at Deadline. It is later for a call
+	// with a key, whose next send wants the outcome.
+	RunUntil time.Time
 	// Suspect marks an attempt that follows the death of an upstream over this call.
 	Suspect bool
 	// Fingerprint is zero when the body was too large to hash.
 	Fingerprint Fingerprint
 }
 
+// End returns when a run that has started is given up.
+func (c *Call) End() time.Time {
+	if c.RunUntil.After(c.Deadline) {
+		return c.RunUntil
+	}
+	return c.Deadline
+}
+
 // Key is an idempotency key that a daemon issued in advance.
 type Key struct {
 	// Home is the upstream whose daemon issued the key.
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -34,6 +34,7 @@
 	HeaderSpent       = "Comfreytack-Spent"
 	HeaderSuspect     = "Comfreytack-Suspect"
 	HeaderAsk         = "Comfreytack-Ask"
+	HeaderRunMs       = "Comfreytack-Run-Ms"
 	ownPrefix         = "Comfreytack-"
 )
 
@@ -88,7 +89,8 @@
 	header.Set(HeaderService, string(call.Service))
 	header.Set(HeaderRequestID, call.ID)
 	header.Set(HeaderClass, call.Class.String())
-	header.Set(HeaderDeadlineMs, remainingMs(call, now))
+	header.Set(HeaderDeadlineMs, millisecondsTo(call.Deadline, now))
+	header.Set(HeaderRunMs, millisecondsTo(call.End(), now))
 	if call.Idempotent {
 		header.Set(HeaderIdempotent, "1")
 	}
@@ -104,7 +106,7 @@
 func PutUpstream(header http.Header, call model.Call, now time.Time) {
 	header.Set(HeaderCustomer, string(call.Customer))
 	header.Set(HeaderRequestID, call.ID)
-	header.Set(HeaderDeadlineMs, remainingMs(call, now))
+	header.Set(HeaderDeadlineMs, millisecondsTo(call.End(), now))
 }
 
 // TakeCall reads what PutCall wrote. The error is a *model.Failure with verdict NotRun.
@@ -127,6 +129,11 @@
 		return call, err
 	}
 	call.Deadline = now.Add(left)
+	run, err := takeMilliseconds(header, HeaderRunMs)
+	if err != nil {
+		return call, err
+	}
+	call.RunUntil = now.Add(run)
 	if text := header.Get(HeaderFingerprint); text != "" {
 		value, err := strconv.ParseUint(text, 16, 64)
 		if err != nil {
@@ -139,7 +146,11 @@
 
 // TakeDeadline reads the time left; zero when the header is absent.
 func TakeDeadline(header http.Header) (time.Duration, error) {
-	text := header.Get(HeaderDeadlineMs)
+	return takeMilliseconds(header, HeaderDeadlineMs)
+}
+
+func takeMilliseconds(header http.Header, name string) (time.Duration, error) {
+	text := header.Get(name)
 	if text == "" {
 		return 0, nil
 	}
@@ -202,8 +213,8 @@
 	return failure
 }
 
-func remainingMs(call model.Call, now time.Time) string {
-	return strconv.FormatInt(max(0, call.Deadline.Sub(now).Milliseconds()), 10)
+func millisecondsTo(end, now time.Time) string {
+	return strconv.FormatInt(max(0, end.Sub(now).Milliseconds()), 10)
 }
 
 func badRequest(cause error) *model.Failure {
