Give long work a quarter of the slots, and learn long routes at the overrun

Cost: a third less long work beside short; every guarantee rises, since it is a share of the other slots.

--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -4,12 +4,10 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/relay"
-	"comfreytack/core/command/class"
 	"comfreytack/core/model"
 	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
@@ -28,8 +26,6 @@
 	Now func() time.Time
 	// Meter records waits.
 	Meter *meter.Meter
-	// Classes learns which unnamed routes are long.
-	Classes *class.Book
 	// Flight follows what runs on the upstream.
 	Flight *flight.Flight
 }
@@ -37,7 +33,6 @@
 // Holder keeps calls waiting for a slot.
 type Holder interface {
 	Enter(ctx context.Context, call model.Call) (hold.Slot, *model.Failure)
-	ShortService() time.Duration
 	Report() model.GateReport
 }
 
@@ -45,9 +40,6 @@
 type Gate[H Holder] struct {
 	settings Settings
 	hold     H
-
-	// learning guards Classes, which belongs to no single goroutine here.
-	learning sync.Mutex
 }
 
 // New returns a gate.
@@ -57,14 +49,12 @@
 
 // Run waits for a slot and sends the request to the upstream. Closing the answer's body frees the slot.
 func (g *Gate[H]) Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
-	call.Class = max(call.Class, g.classOf(call))
 	run, slot, failure := g.enter(ctx, call)
 	if failure != nil {
 		return nil, failure
 	}
 	run.Start()
 	g.settings.Meter.Wait(call, slot.Waited)
-	started := g.settings.Now()
 	answer, failure := g.trip(ctx, call, request)
 	if failure != nil {
 		slot.Release(resultOf(failure))
@@ -77,7 +67,6 @@
 		result := hold.Useless
 		if broken == nil && ctx.Err() == nil && answer.StatusCode < http.StatusInternalServerError {
 			result = hold.Useful
-			g.learn(call, g.settings.Now().Sub(started))
 		}
 		slot.Release(result)
 		run.End(broken)
@@ -92,22 +81,6 @@
 	return hold.Useless
 }
 
-// classOf returns the class that the service names, or the one learnt from earlier runs.
-func (g *Gate[H]) classOf(call model.Call) model.Class {
-	service := g.settings.Snapshot().Services[call.Service]
-	g.learning.Lock()
-	defer g.learning.Unlock()
-	return g.settings.Classes.Of(service, call.Method, call.Path)
-}
-
-func (g *Gate[H]) learn(call model.Call, held time.Duration) {
-	service := g.settings.Snapshot().Services[call.Service]
-	mean := g.hold.ShortService()
-	g.learning.Lock()
-	defer g.learning.Unlock()
-	g.settings.Classes.Ran(service, call.Method, call.Path, held, mean)
-}
-
 // enter waits until the request may go to the upstream, at most until its deadline.
 func (g *Gate[H]) enter(ctx context.Context, call model.Call) (*flight.Run, hold.Slot, *model.Failure) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -32,6 +32,7 @@
 	"comfreytack/core/setup"
 	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
+	"comfreytack/core/traffic/kinds"
 	"comfreytack/core/traffic/send"
 )
 
@@ -138,7 +139,6 @@
 		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Meter:     p.meter,
-		Classes:   class.New(learntClasses),
 		Flight: flight.New(flight.Settings{
 			Self: p.self,
 			Book: p.crashes,
@@ -151,6 +151,7 @@
 	}, hold.New(hold.Settings{
 		Snapshot: p.control.Snapshot,
 		Now:      time.Now,
+		Classes:  kinds.New(p.control.Snapshot, class.New(learntClasses)),
 	}, admit.New(firstSlots, discipline), adapt.New(1, firstSlots, limiter)))
 	sending, err := buildSend(p)
 	if err != nil {
--- a/core/query/limits/limits.go
+++ b/core/query/limits/limits.go
@@ -20,7 +20,7 @@
 	// millislotsPerSlot converts slots to the unit of guarantees.
 	millislotsPerSlot = 1000
 	// longSlotsDivisor is the share of the slots that long work may hold: one in so many.
-	longSlotsDivisor = 3
+	longSlotsDivisor = 4
 	// standardQueuePerSlot and backgroundQueuePerSlot bound a customer's waiting requests for each slot.
 	standardQueuePerSlot   = 16
 	backgroundQueuePerSlot = 4
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -12,6 +12,7 @@
 	"comfreytack/core/command/admit"
 	"comfreytack/core/model"
 	"comfreytack/core/query/fresh"
+	"comfreytack/core/traffic/kinds"
 )
 
 // Settings has the explicit dependencies of a gate.
@@ -20,6 +21,8 @@
 	Snapshot func() *model.Snapshot
 	// Now reads the clock, with its monotonic part.
 	Now func() time.Time
+	// Classes learns which unnamed routes are long.
+	Classes *kinds.Book
 }
 
 // Gate guards an admit.Gate, and the limiter that sets its slots, for many goroutines.
@@ -32,6 +35,15 @@
 	applied model.Revision
 	nextID  uint64
 	waiting map[uint64]chan admit.Decision
+	running map[uint64]*running
+}
+
+// running is a call that holds a slot.
+type running struct {
+	call      model.Call
+	startedAt time.Time
+	// overran says that its route was learnt to be long while it ran.
+	overran bool
 }
 
 // Slot is held by one running request.
@@ -57,7 +69,7 @@
 
 // New returns a gate without waiting requests.
 func New[D admit.Discipline, P adapt.Policy](settings Settings, gate *admit.Gate[D], limiter *adapt.Limiter[P]) *Gate[D, P] {
-	return &Gate[D, P]{settings: settings, gate: gate, limiter: limiter, waiting: map[uint64]chan admit.Decision{}}
+	return &Gate[D, P]{settings: settings, gate: gate, limiter: limiter, waiting: map[uint64]chan admit.Decision{}, running: map[uint64]*running{}}
 }
 
 // Enter waits for a slot. The failure's verdict is always NotRun: the request has not started.
@@ -66,6 +78,7 @@
 	if failure := refuseAtDoor(g.settings.Snapshot()); failure != nil {
 		return Slot{}, failure
 	}
+	call.Class = max(call.Class, g.settings.Classes.Of(call))
 	id, decision, wake := g.arrive(arrived, call)
 	if decision.Action == admit.Wait {
 		decision = g.wait(ctx, id, wake)
@@ -74,13 +87,13 @@
 		return Slot{}, refused(decision)
 	}
 	if failure := g.recheck(ctx, call); failure != nil {
-		g.finish(id, call.Class, g.settings.Now(), Useless)
+		g.finish(id, Useless)
 		return Slot{}, failure
 	}
-	started := g.settings.Now()
+	started := g.started(id, call)
 	var once sync.Once
 	release := func(result Result) {
-		once.Do(func() { g.finish(id, call.Class, started, result) })
+		once.Do(func() { g.finish(id, result) })
 	}
 	return Slot{Waited: started.Sub(arrived), Release: release}, nil
 }
@@ -98,13 +111,6 @@
 	return report
 }
 
-// ShortService returns the recent mean service time of short work; zero before the first was measured.
-func (g *Gate[D, P]) ShortService() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.gate.ShortService()
-}
-
 func (g *Gate[D, P]) arrive(now time.Time, call model.Call) (uint64, admit.Decision, chan admit.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -120,6 +126,7 @@
 		Deadline:  call.Deadline,
 	}
 	decision := g.gate.Arrive(now, ticket)
+	g.takeOverruns()
 	if decision.Action != admit.Wait {
 		return ticket.ID, decision, nil
 	}
@@ -160,7 +167,15 @@
 	return nil
 }
 
-func (g *Gate[D, P]) finish(id uint64, class model.Class, started time.Time, result Result) {
+func (g *Gate[D, P]) started(id uint64, call model.Call) time.Time {
+	now := g.settings.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running[id] = &running{call: call, startedAt: now}
+	return now
+}
+
+func (g *Gate[D, P]) finish(id uint64, result Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.settings.Now()
@@ -169,12 +184,36 @@
 		g.gate.Abandon(id)
 	}
 	g.wake(g.gate.Finish(now, id))
-	if class == model.Short && result != Useless {
-		sample := adapt.Sample{Held: now.Sub(started), InFlight: inFlight, Shed: result == Shed}
+	g.takeOverruns()
+	if r, known := g.running[id]; known {
+		delete(g.running, id)
+		g.learn(now, r, inFlight, result)
+	}
+}
+
+// learn takes what a run that has ended tells of its route and of the upstream. The caller holds the lock.
+func (g *Gate[D, P]) learn(now time.Time, r *running, inFlight int, result Result) {
+	held := now.Sub(r.startedAt)
+	if result == Useful && !r.overran {
+		g.settings.Classes.Ran(r.call, held, g.gate.ShortService())
+	}
+	if r.call.Class == model.Short && result != Useless {
+		sample := adapt.Sample{Held: held, InFlight: inFlight, Shed: result == Shed}
 		g.resize(now, g.limiter.Observe(now, sample))
 	}
 }
 
+// takeOverruns learns of calls that turned out to be long, without waiting for their end. The caller
+// holds the lock.
+func (g *Gate[D, P]) takeOverruns() {
+	for _, id := range g.gate.TakeOverruns() {
+		if r, known := g.running[id]; known {
+			r.overran = true
+			g.settings.Classes.Overran(r.call)
+		}
+	}
+}
+
 // resize follows the limiter. The caller holds the lock.
 func (g *Gate[D, P]) resize(now time.Time, slots int) {
 	if slots != g.gate.Slots {
--- /dev/null
+++ b/core/traffic/kinds/kinds.go
@@ -0,0 +1,51 @@
+// Package kinds lets many goroutines share a book of learnt classes.
+package kinds
+
+import (
+	"sync"
+	"time"
+
+	"comfreytack/core/command/class"
+	"comfreytack/core/model"
+)
+
+// Book guards a class.Book.
+type Book struct {
+	snapshot func() *model.Snapshot
+
+	mu   sync.Mutex
+	book *class.Book
+}
+
+// New returns a guarded book. The function snapshot returns the control state.
+func New(snapshot func() *model.Snapshot, book *class.Book) *Book {
+	return &Book{snapshot: snapshot, book: book}
+}
+
+// Of returns the class that the service names for a call, or the one learnt from earlier runs.
+func (b *Book) Of(call model.Call) model.Class {
+	service := b.service(call)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.book.Of(service, call.Method, call.Path)
+}
+
+// Ran tells that a call held a slot for the given time while short work took the given mean.
+func (b *Book) Ran(call model.Call, held, mean time.Duration) {
+	service := b.service(call)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.book.Ran(service, call.Method, call.Path, held, mean)
+}
+
+// Overran tells that a call that started as short turned out to be long.
+func (b *Book) Overran(call model.Call) {
+	service := b.service(call)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.book.Overran(service, call.Method, call.Path)
+}
+
+func (b *Book) service(call model.Call) model.Service {
+	return b.snapshot().Services[call.Service]
+}
