Test that the verdict of a retried read covers all its attempts

A trial that told the last attempt's verdict alone said not_run of a read whose first attempt had reached an upstream. A truncated answer counts as a death of its upstream for the bound on retries, as one that broke off before it began.

--- a/cftd/start/whole_test.go
+++ b/cftd/start/whole_test.go
@@ -18,7 +18,11 @@
 	"comfreytack/core/wire"
 )
 
-const exchangeLimit = 5 * time.Second
+const (
+	exchangeLimit = 5 * time.Second
+	// earningCalls earn a customer two retries.
+	earningCalls = 20
+)
 
 // rawUpstream answers each request on a connection by the function, which returns false to close it.
 type rawUpstream struct {
@@ -251,3 +255,60 @@
 	}
 	qt.Assert(t, leaked.Load(), qt.IsFalse)
 }
+
+// TestRetriedReads has attempts of an idempotent call fail one after another. The verdict covers them all.
+func TestRetriedReads(t *testing.T) {
+	t.Parallel()
+	const (
+		dies      = ""
+		truncated = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok"
+		shed      = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		whole     = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+	)
+	tests := []struct {
+		name        string
+		answers     []string
+		wantStatus  int
+		wantVerdict string
+	}{
+		{name: "first is whole", answers: []string{whole}, wantStatus: 200, wantVerdict: "ran"},
+		{name: "shed, then whole", answers: []string{shed, whole}, wantStatus: 200, wantVerdict: "ran"},
+		{name: "dies, then whole", answers: []string{dies, whole}, wantStatus: 200, wantVerdict: "may_have_run"},
+		{name: "truncated, then whole", answers: []string{truncated, whole}, wantStatus: 200, wantVerdict: "may_have_run"},
+		{name: "dies, then shed by all others", answers: []string{dies, shed, shed}, wantStatus: 503, wantVerdict: "may_have_run"},
+		{name: "truncated twice", answers: []string{truncated, truncated, whole}, wantStatus: 502, wantVerdict: "may_have_run"},
+		{name: "shed by all", answers: []string{shed, shed, shed}, wantStatus: 503, wantVerdict: "not_run"},
+	}
+	var current atomic.Pointer[[]string]
+	upstream := startRaw(t, func(conn net.Conn, _ *http.Request) bool {
+		answers := *current.Load()
+		rest := answers[1:]
+		current.Store(&rest)
+		_, _ = io.WriteString(conn, answers[0])
+		// A close after a whole answer may meet the next request, which is in doubt then.
+		return answers[0] == whole || answers[0] == shed
+	})
+	f := startFleetOf(t, 3, upstream.address)
+	get := func(settings setup.Settings, path string, answers ...string) (*http.Response, string) {
+		current.Store(&answers)
+		request := "GET /svc/reservas/" + path + " HTTP/1.1\r\nHost: a\r\nComfreytack-Customer: police\r\n\r\n"
+		answer, body, err := exchange(t, settings, http.MethodGet, request)
+		qt.Assert(t, err, qt.IsNil)
+		return answer, body
+	}
+	for i, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for j, settings := range f.daemons {
+				for range earningCalls {
+					get(settings, "rooms", whole)
+				}
+				answer, body := get(settings, fmt.Sprintf("beds/%d/%d", i, j), append(test.answers, "", "", "")...)
+				qt.Check(t, answer.StatusCode, qt.Equals, test.wantStatus)
+				qt.Check(t, answer.Header.Get(wire.HeaderVerdict), qt.Equals, test.wantVerdict)
+				if test.wantStatus == http.StatusOK {
+					qt.Check(t, body, qt.Equals, "whole")
+				}
+			}
+		})
+	}
+}
