--- a/cftd/start/keyed_test.go
+++ b/cftd/start/keyed_test.go
@@ -25,6 +25,8 @@
 	mu         sync.Mutex
 	executions map[string]int
 	release    chan struct{}
+	// letGo ends the wait of slow bodies.
+	letGo func()
 }
 
 func (c *counter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -65,7 +67,8 @@
 
 func startCounterBy(t *testing.T, start func(*testing.T, setup.Settings)) (*counter, *fleet) {
 	t.Helper()
-	c := &counter{executions: map[string]int{}, release: make(chan struct{})}
+	release := make(chan struct{})
+	c := &counter{executions: map[string]int{}, release: release, letGo: sync.OnceFunc(func() { close(release) })}
 	server := httptest.NewServer(c)
 	t.Cleanup(server.Close)
 	return c, startFleetBy(t, 3, model.Address(strings.TrimPrefix(server.URL, "http://")), start)
@@ -208,7 +211,7 @@
 		go func() { results <- sendKeyed(t.Context(), f.daemons[i%3], key, i+2, "slow") }()
 	}
 	time.Sleep(20 * time.Millisecond)
-	close(c.release)
+	c.letGo()
 	for range sends {
 		qt.Check(t, <-results, qt.Equals, told{200, "ran", "none", "slow run 1"})
 	}
--- a/cftd/start/process_test.go
+++ b/cftd/start/process_test.go
@@ -88,11 +88,17 @@
 	return outcome
 }
 
+var (
+	homeLost = told{502, "may_have_run", "home_lost", ""}
+	gateLost = told{502, "may_have_run", "gate_lost", ""}
+	// cutOff is told when another daemon's gate ends a run at the deadline; the home's own gate goes on.
+	cutOff = told{504, "may_have_run", "deadline_passed", ""}
+	ran    = told{200, "ran", "none", "slow run 1"}
+)
+
 // TestProcessesThatFail kills and pauses daemons at the steps of a keyed call. In each scene the request must
 // run at most once, and what callers are told must be true.
 func TestProcessesThatFail(t *testing.T) {
-	homeLost := told{502, "may_have_run", "home_lost", ""}
-	ran := told{200, "ran", "none", "slow run 1"}
 	tests := []struct {
 		name  string
 		scene func(t *testing.T, s *scene)
@@ -117,13 +123,12 @@
 			s.signal(t, s.entry, syscall.SIGKILL)
 			qt.Check(t, (<-first).status, qt.Equals, 0)
 			second := s.send(t, s.other, 2, "slow")
-			close(s.counter.release)
+			s.counter.letGo()
 			// The home may have sent the run through the gate of the daemon that was killed.
-			gateLost := told{502, "may_have_run", "gate_lost", ""}
 			qt.Check(t, []told{ran, gateLost}, qt.Contains, <-second)
 		}},
 		{name: "home paused across the deadline before it sees the request", want: 1, scene: func(t *testing.T, s *scene) {
-			close(s.counter.release)
+			s.counter.letGo()
 			s.signal(t, s.home, syscall.SIGSTOP)
 			first := <-s.send(t, s.entry, 1, "slow")
 			s.signal(t, s.home, syscall.SIGCONT)
@@ -140,10 +145,8 @@
 			first := s.running(t)
 			s.signal(t, s.home, syscall.SIGSTOP)
 			qt.Check(t, (<-first).verdict, qt.Equals, "may_have_run")
-			close(s.counter.release)
+			s.counter.letGo()
 			s.signal(t, s.home, syscall.SIGCONT)
-			// Another daemon's gate cuts the run off at the deadline; the home's own does not.
-			cutOff := told{504, "may_have_run", "deadline_passed", ""}
 			qt.Check(t, []told{ran, cutOff}, qt.Contains, <-s.send(t, s.other, 2, "slow"))
 		}},
 	}
@@ -154,13 +157,7 @@
 			c, f := startCounterBy(t, s.start)
 			s.counter, s.home, s.entry, s.other = c, f.daemons[0], f.daemons[1], f.daemons[2]
 			s.key = takeKeys(t, s.home, 1)[0]
-			t.Cleanup(func() {
-				select {
-				case <-c.release:
-				default:
-					close(c.release)
-				}
-			})
+			t.Cleanup(c.letGo)
 			test.scene(t, s)
 			qt.Check(t, c.count("slow"), qt.Equals, test.want)
 		})
