--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -23,8 +23,8 @@
 			relay.WriteFailure(w, failure)
 			return
 		}
-		relay.Limit(w, call.Deadline)
-		ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+		relay.Limit(w, call.End())
+		ctx, cancel := context.WithDeadline(r.Context(), call.End())
 		defer cancel()
 		serve(ctx, w, r, g, call)
 	})
@@ -44,6 +44,7 @@
 		relay.WriteFailure(w, failure)
 		return
 	}
+	relay.Duplex(w, body)
 	w.Header().Set(wire.HeaderVerdict, model.Ran.String())
 	w.Header().Set(wire.HeaderReason, model.NoReason.String())
 	if broken := relay.WriteAnswer(w, answer); broken != nil {
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,16 +24,23 @@
 
 const (
 	readyTimeout = 10 * time.Second
+	firstPort    = 12_000
+	ports        = 20_000
+
+	portsPerProcess = 200
 	// stopMs leaves time for connections that never carried a request, which the server waits 5 s for.
 	stopMs = 10_000
 )
 
+var portsTaken atomic.Int64
+
 // fleet is a few daemons in this process, with stand-ins for platform and upstreams.
 type fleet struct {
 	daemons []setup.Settings
 }
 
 func TestPathOfACall(t *testing.T) {
+	t.Parallel()
 	f := startFleet(t, 2)
 	tests := []struct {
 		name        string
@@ -81,6 +90,11 @@
 }
 
 func startFleetOf(t *testing.T, size int, upstream model.Address) *fleet {
+	t.Helper()
+	return startFleetBy(t, size, upstream, startDaemon)
+}
+
+func startFleetBy(t *testing.T, size int, upstream model.Address, start func(*testing.T, setup.Settings)) *fleet {
 	t.Helper()
 	f := &fleet{}
 	service := model.Service{Name: "reservas", Slots: 10, Connections: 250, ShedStatus: http.StatusServiceUnavailable}
@@ -105,7 +119,7 @@
 	t.Cleanup(platform.Close)
 	for i := range f.daemons {
 		f.daemons[i].Platform = []model.Address{model.Address(strings.TrimPrefix(platform.URL, "http://"))}
-		startDaemon(t, f.daemons[i])
+		start(t, f.daemons[i])
 	}
 	return f
 }
@@ -174,11 +188,19 @@
 	})
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address that was free a moment ago. Its port is below those that the system
+// gives to outgoing connections, which could take it before the daemon listens.
 func freeAddress(t *testing.T) model.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer listener.Close()
-	return model.Address(listener.Addr().String())
+	for {
+		// No two tests of this process get the same port, and those of others rarely do.
+		offset := os.Getpid()*portsPerProcess + int(portsTaken.Add(1))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset%ports)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		qt.Assert(t, listener.Close(), qt.IsNil)
+		return model.Address(address)
+	}
 }
