--- a/core/command/load/life.go
+++ b/core/command/load/life.go
@@ -16,7 +16,7 @@
 const (
 	// Answered means a complete answer that is not the upstream's own error.
 	Answered Result = iota // answered
-	// Refused means that the gate refused; it says that the upstream is loaded, not that it is ill.
+	// Refused means that the gate refused; it says that the upstream is loaded, not that it is unhealthy.
 	Refused // refused
 	// Failed means that the upstream died, broke off, timed out or answered with an error of its own.
 	Failed // failed
--- a/core/command/poison/poison_test.go
+++ b/core/command/poison/poison_test.go
@@ -29,7 +29,7 @@
 
 var start = time.Unix(1000, 0)
 
-const killer = model.Fingerprint(666)
+const crasher = model.Fingerprint(666)
 
 func checkGolden(t *testing.T, name, got string) {
 	path := filepath.Join("testdata", name)
@@ -41,7 +41,7 @@
 	qt.Assert(t, got, qt.Equals, string(want))
 }
 
-// TestSession replays what one book sees of a killer and its neighbours.
+// TestSession replays what one book sees of a crashing request and its neighbours.
 func TestSession(t *testing.T) {
 	book := poison.New(poison.DefaultSettings())
 	var session strings.Builder
@@ -61,19 +61,19 @@
 	begin := func(fingerprint model.Fingerprint, marked bool) func(time.Time) string {
 		return func(now time.Time) string { return book.Begin(now, fingerprint, marked).String() }
 	}
-	step(0, "666 begins", begin(killer, false))
-	step(time.Second, "reservas-0 crashes with 666, 1 and 2", crash("reservas-0", killer, 1, 2))
-	step(time.Second, "the same crash is told again", crash("reservas-0", killer, 1, 2))
+	step(0, "666 begins", begin(crasher, false))
+	step(time.Second, "reservas-0 crashes with 666, 1 and 2", crash("reservas-0", crasher, 1, 2))
+	step(time.Second, "the same crash is told again", crash("reservas-0", crasher, 1, 2))
 	step(2*time.Second, "1 begins", begin(1, false))
-	step(2*time.Second, "666 begins beside it", begin(killer, false))
+	step(2*time.Second, "666 begins beside it", begin(crasher, false))
 	step(2*time.Second, "3 begins beside it", begin(3, false))
 	step(2*time.Second, "4 begins, tried again after a death", begin(4, true))
 	step(3*time.Second, "1 succeeds", func(time.Time) string { book.Succeeded(1); book.EndAlone(); return "" })
-	step(3*time.Second, "666 begins", begin(killer, false))
-	step(4*time.Second, "reservas-1 crashes with 666, 1 and 3", crash("reservas-1", killer, 1, 3))
-	step(4*time.Second, "666 begins", begin(killer, true))
+	step(3*time.Second, "666 begins", begin(crasher, false))
+	step(4*time.Second, "reservas-1 crashes with 666, 1 and 3", crash("reservas-1", crasher, 1, 3))
+	step(4*time.Second, "666 begins", begin(crasher, true))
 	step(4*time.Second, "1 begins", func(now time.Time) string { book.EndAlone(); return begin(1, false)(now) })
-	step(604*time.Second, "666 begins after the quarantine", begin(killer, false))
+	step(604*time.Second, "666 begins after the quarantine", begin(crasher, false))
 	checkGolden(t, "session.golden", session.String())
 }
 
@@ -108,8 +108,8 @@
 func TestGossipEnds(t *testing.T) {
 	settings := poison.DefaultSettings()
 	a, b := poison.New(settings), poison.New(settings)
-	a.Crashed(start, "reservas-0", 1, []model.Fingerprint{killer})
-	a.Crashed(start, "reservas-1", 1, []model.Fingerprint{killer})
+	a.Crashed(start, "reservas-0", 1, []model.Fingerprint{crasher})
+	a.Crashed(start, "reservas-1", 1, []model.Fingerprint{crasher})
 	now := start
 	for now.Before(start.Add(4 * settings.Term)) {
 		told := a.Gossip(now)
@@ -131,12 +131,12 @@
 		for i := range 10 {
 			inFlight = append(inFlight, model.Fingerprint(life*10+i+1000))
 		}
-		book.Crashed(start.Add(time.Duration(life)*time.Second), "a", model.Incarnation(life), append(inFlight, killer))
+		book.Crashed(start.Add(time.Duration(life)*time.Second), "a", model.Incarnation(life), append(inFlight, crasher))
 	}
 	now := start.Add(100 * time.Second)
 	qt.Assert(t, book.Size() <= settings.Fingerprints, qt.IsTrue)
 	qt.Assert(t, len(book.Gossip(now)), qt.Equals, settings.GossipSize)
-	_, barred := book.Quarantined(now)[killer]
+	_, barred := book.Quarantined(now)[crasher]
 	qt.Assert(t, barred, qt.IsTrue)
 }
 
@@ -172,10 +172,10 @@
 	}
 }
 
-// end finishes the oldest request at a gate: a killer takes its upstream down.
+// end finishes the oldest request at a gate: a crashing request takes its upstream down.
 func (c *cluster) end(now time.Time, at int) {
 	first := c.running[at][0]
-	if first == killer {
+	if first == crasher {
 		c.crash(now, at)
 		return
 	}
@@ -208,19 +208,19 @@
 	}
 }
 
-func (c *cluster) killersRunning() int {
+func (c *cluster) crashersRunning() int {
 	count := 0
 	for _, running := range c.running {
-		if slices.Contains(running, killer) {
+		if slices.Contains(running, crasher) {
 			count++
 		}
 	}
 	return count
 }
 
-// TestKillerTakesDownTwo re-sends a killer at any moment to any gate, many times over. Its crashes are
+// TestCrashingRequestTakesDownTwo re-sends a crashing request at any moment to any gate, many times over. Its crashes are
 // two and those of the gates where it was in flight already when the second one came.
-func TestKillerTakesDownTwo(t *testing.T) {
+func TestCrashingRequestTakesDownTwo(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(2, 8).Draw(t, "gates")
 		c := newCluster(size)
@@ -231,7 +231,7 @@
 			at := rapid.IntRange(0, size-1).Draw(t, "gate")
 			switch rapid.IntRange(0, 3).Draw(t, "action") {
 			case 0:
-				c.begin(now, at, killer)
+				c.begin(now, at, crasher)
 			case 1:
 				innocents++
 				c.begin(now, at, innocents)
@@ -242,7 +242,7 @@
 				before := c.crashes
 				c.end(now, at)
 				if c.crashes == 2 && before == 1 {
-					inFlightAtSecond = c.killersRunning()
+					inFlightAtSecond = c.crashersRunning()
 				}
 			}
 			if c.crashes > 2+inFlightAtSecond {
@@ -254,14 +254,14 @@
 
 // odds is what a series of trials shows about innocent requests.
 type odds struct {
-	neighbours, quarantined, trials, killerBarred int
+	neighbours, quarantined, trials, crasherBarred int
 }
 
-// trial lets a killer take down gate 0 with nine neighbours beside it. All ten are sent again within
-// 50 ms to other gates, which work for 10 ms on each in the mean; the killer takes down a second gate.
+// trial lets a crashing request take down gate 0 with nine neighbours beside it. All ten are sent again within
+// 50 ms to other gates, which work for 10 ms on each in the mean; the crashing request takes down a second gate.
 func (o *odds) trial(random *rand.Rand, gates int, isolate bool) {
 	book := poison.New(poison.DefaultSettings())
-	first := []model.Fingerprint{killer, 1, 2, 3, 4, 5, 6, 7, 8, 9}
+	first := []model.Fingerprint{crasher, 1, 2, 3, 4, 5, 6, 7, 8, 9}
 	book.Crashed(start, "0", 1, first)
 	type run struct {
 		fingerprint model.Fingerprint
@@ -284,7 +284,7 @@
 			freeAt[runs[i].gate] = runs[i].to
 		}
 	}
-	crashed := runs[slices.IndexFunc(runs, func(r run) bool { return r.fingerprint == killer })]
+	crashed := runs[slices.IndexFunc(runs, func(r run) bool { return r.fingerprint == crasher })]
 	var inFlight []model.Fingerprint
 	for _, r := range runs {
 		switch {
@@ -298,13 +298,13 @@
 	barred := book.Quarantined(start.Add(crashed.to))
 	o.trials++
 	o.neighbours += len(first) - 1
-	if _, found := barred[killer]; found {
-		o.killerBarred++
+	if _, found := barred[crasher]; found {
+		o.crasherBarred++
 	}
 	o.quarantined += len(barred) - 1
 }
 
-// TestOddsForInnocents shows what isolating suspects does for those that were in flight beside a killer.
+// TestOddsForInnocents shows what isolating suspects does for those that were in flight beside a crashing request.
 func TestOddsForInnocents(t *testing.T) {
 	const trials = 10_000
 	tests := []struct {
@@ -320,7 +320,7 @@
 		{name: "2 upstreams, suspects alone", gates: 2, isolate: true},
 	}
 	var table strings.Builder
-	fmt.Fprintln(&table, "| gates | killers barred | innocents quarantined |\n| --- | --- | --- |")
+	fmt.Fprintln(&table, "| upstreams | crashing requests quarantined | innocents quarantined |\n| --- | --- | --- |")
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(1, 1))
@@ -328,9 +328,9 @@
 			for range trials {
 				o.trial(random, test.gates, test.isolate)
 			}
-			fmt.Fprintf(&table, "| %s | %d of %d | %d of %d (%.2f%%) |\n", test.name, o.killerBarred, o.trials,
+			fmt.Fprintf(&table, "| %s | %d of %d | %d of %d (%.2f%%) |\n", test.name, o.crasherBarred, o.trials,
 				o.quarantined, o.neighbours, 100*float64(o.quarantined)/float64(o.neighbours))
-			qt.Assert(t, o.killerBarred, qt.Equals, trials)
+			qt.Assert(t, o.crasherBarred, qt.Equals, trials)
 			qt.Assert(t, o.quarantined == 0, qt.Equals, test.isolate)
 		})
 	}
--- a/core/query/retry/retry_test.go
+++ b/core/query/retry/retry_test.go
@@ -116,14 +116,14 @@
 func TestAttemptsDoNotMultiply(t *testing.T) {
 	refuse := func() *model.Failure { return &model.Failure{Reason: model.QueueFull} }
 	pay := func() bool { return true }
-	careless := &chain{hops: 6, bottom: refuse}
-	careless.next = func(state retry.State, failure *model.Failure) retry.Decision {
-		unmarked := *failure
-		unmarked.Spent = false
-		return retry.Next(now, state, &unmarked, pay)
+	unmarked := &chain{hops: 6, bottom: refuse}
+	unmarked.next = func(state retry.State, failure *model.Failure) retry.Decision {
+		copied := *failure
+		copied.Spent = false
+		return retry.Next(now, state, &copied, pay)
 	}
-	careless.call(1)
-	qt.Assert(t, careless.attempts, qt.Equals, 3+9+27+81+243+729)
+	unmarked.call(1)
+	qt.Assert(t, unmarked.attempts, qt.Equals, 3+9+27+81+243+729)
 
 	rapid.Check(t, func(t *rapid.T) {
 		c := &chain{hops: rapid.IntRange(1, 17).Draw(t, "hops")}
--- a/core/query/subset/subset.go
+++ b/core/query/subset/subset.go
@@ -18,7 +18,8 @@
 	upstream model.Upstream
 	// round is how many upstreams of the same failure domain rank before it.
 	round int
-	score uint64
+	// score and domainScore are the rendezvous hashes of the upstream and of its failure domain.
+	score, domainScore uint64
 }
 
 // Of returns at most size of the upstreams, in an order that is the daemon's own.
@@ -28,15 +29,16 @@
 func Of(self model.UpstreamName, upstreams []model.Upstream, size int) []model.Upstream {
 	order := make([]ranked, 0, len(upstreams))
 	for _, upstream := range upstreams {
-		order = append(order, ranked{upstream: upstream, score: score(self, string(upstream.Name))})
+		order = append(order, ranked{
+			upstream:    upstream,
+			score:       score(self, string(upstream.Name)),
+			domainScore: score(self, string(upstream.FailureDomain)),
+		})
 	}
 	slices.SortFunc(order, byScore)
 	number(order)
 	slices.SortStableFunc(order, func(a, b ranked) int {
-		return cmp.Or(
-			cmp.Compare(a.round, b.round),
-			cmp.Compare(score(self, string(a.upstream.FailureDomain)), score(self, string(b.upstream.FailureDomain))),
-		)
+		return cmp.Or(cmp.Compare(a.round, b.round), cmp.Compare(a.domainScore, b.domainScore))
 	})
 	order = order[:min(size, len(order))]
 	members := make([]model.Upstream, 0, len(order))
