Wait longer for answers that do not come

A value of nearly a megabyte was asked for again every 500 ms while it was under way: 21 MB were sent for 12 daemons under the race detector.

--- a/cftd/peers/fleet_test.go
+++ b/cftd/peers/fleet_test.go
@@ -254,6 +254,13 @@
 			}
 			f.publish(30)
 		}},
+		{"a value of nearly a megabyte", func() {
+			large := model.Service{Name: "large", Slots: 10, Connections: 250, Upstreams: []model.Upstream{}}
+			for range 900 {
+				large.Routes = append(large.Routes, model.Route{PathPrefix: "/" + strings.Repeat("x", 1000)})
+			}
+			f.platform.publish(f.t, "services/large", large)
+		}},
 		{"halves cut off and joined again", func() {
 			for _, m := range f.members[:6] {
 				m.side.Store(1)
--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -103,7 +103,7 @@
 	case PeerLost:
 		s.Members.Lost(now, e.Address)
 		s.Start.Silent.Remove(e.Address)
-		s.Gossip.Answered(e.Address)
+		s.Gossip.Lost(e.Address)
 	case CrashSeen:
 		s.Gossip.News = true
 	case CallFailed:
--- a/core/command/gossip/gossip.go
+++ b/core/command/gossip/gossip.go
@@ -28,8 +28,11 @@
 	FanOut = 4
 	// DigestEvery is the time between two regular digests.
 	DigestEvery = time.Second
-	// AskTimeout is how long an answer is waited for before somebody else is asked.
-	AskTimeout = 500 * time.Millisecond
+	// AskTimeout is how long an answer is waited for before somebody else is asked. Each question that
+	// stays without an answer doubles the wait, up to MaxAskTimeout, so that values which take long to
+	// travel are not asked for again and again.
+	AskTimeout    = 500 * time.Millisecond
+	MaxAskTimeout = 8 * time.Second
 	// MaxDeltaBytes bounds the values in one answer, but for a single larger one.
 	MaxDeltaBytes = 1 << 20
 
@@ -102,6 +105,8 @@
 	// Asked is the peer that an answer is awaited from until AskedUntil; empty when none.
 	Asked      model.Address
 	AskedUntil time.Time
+	// Unanswered counts the questions in a row that got no answer.
+	Unanswered int
 	// HealedAt is when equal revisions were last compared in full.
 	HealedAt time.Time
 	// Copies is how many whole copies may be given away now, at CopiesAt; at most copyBurst.
@@ -139,13 +144,24 @@
 	if s.Asked != "" && now.Before(s.AskedUntil) {
 		return false
 	}
+	if s.Asked != "" {
+		s.Unanswered++
+	}
 	s.Asked = peer
-	s.AskedUntil = now.Add(AskTimeout)
+	s.AskedUntil = now.Add(min(MaxAskTimeout, AskTimeout<<min(s.Unanswered, 10)))
 	return true
 }
 
-// Answered notes that the awaited peer has answered.
+// Answered notes that a peer has answered, the awaited one or a late one.
 func (s *State) Answered(peer model.Address) {
+	s.Unanswered = 0
+	if s.Asked == peer {
+		s.Asked = ""
+	}
+}
+
+// Lost notes that a peer cannot be reached, so that no answer of it is awaited any more.
+func (s *State) Lost(peer model.Address) {
 	if s.Asked == peer {
 		s.Asked = ""
 	}
