--- a/core/command/daemon/faults_test.go
+++ b/core/command/daemon/faults_test.go
@@ -76,12 +76,12 @@
 		},
 		"kill": func(t *rapid.T) { f.pick(t).down = true },
 		"restart": func(t *rapid.T) {
-			f.start(f.pick(t), nil, len(f.nodes))
+			f.start(f.pick(t), nil, 2*len(f.nodes))
 		},
 		"replace": func(t *rapid.T) {
 			n := f.pick(t)
 			n.self.Incarnation++
-			f.start(n, nil, len(f.nodes))
+			f.start(n, nil, 2*len(f.nodes))
 			f.platform.publish("services/s0", f.service(0, len(f.nodes)))
 		},
 		"pause":  func(t *rapid.T) { f.pick(t).paused = true },
@@ -194,7 +194,7 @@
 	f.platform.down, f.platform.staleAt = false, 0
 	for _, n := range f.nodes {
 		if n.down {
-			f.start(n, nil, len(f.nodes))
+			f.start(n, nil, 2*len(f.nodes))
 		}
 		if n.paused {
 			f.resume(n)
@@ -247,7 +247,7 @@
 		f.watchReplacements(t)
 		for _, n := range w.nodes {
 			f.left[n] = map[model.UpstreamName]seenLeaving{}
-			w.start(n, nil, len(w.nodes))
+			w.start(n, nil, 2*len(w.nodes))
 		}
 		w.run(15 * time.Second)
 		t.Repeat(f.actions())
--- a/core/command/daemon/incident_test.go
+++ b/core/command/daemon/incident_test.go
@@ -105,7 +105,7 @@
 				w := newWorld(5, size.services, size.perService, size.domains)
 				w.calls = map[*node][]model.ServiceName{}
 				for _, n := range w.nodes {
-					w.calls[n] = callsOf(w, size.services)
+					w.calls[n] = callsOf(n, size.services)
 					w.start(n, w.calls[n], seedsPerDaemon)
 				}
 				w.run(90 * time.Second)
--- a/core/command/daemon/measure_test.go
+++ b/core/command/daemon/measure_test.go
@@ -4,11 +4,14 @@
 	"flag"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"runtime"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"comfreytack/core/model"
 )
 
@@ -45,14 +48,15 @@
 	messages, bytes float64
 }
 
-// callsOf returns the services that a node calls: its own and some others, or none for all.
-func callsOf(w *world, services int) []model.ServiceName {
+// callsOf returns the services that a node calls, the same for all nodes of its service, or none for all.
+func callsOf(n *node, services int) []model.ServiceName {
 	if services <= callsPerDaemon {
 		return nil
 	}
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(string(n.self.Service)), 1))
 	var calls []model.ServiceName
-	for range callsPerDaemon {
-		calls = append(calls, model.ServiceName(fmt.Sprintf("s%d", w.random.IntN(services))))
+	for _, i := range random.Perm(services)[:callsPerDaemon] {
+		calls = append(calls, model.ServiceName(fmt.Sprintf("s%d", i)))
 	}
 	return calls
 }
@@ -60,7 +64,7 @@
 func runFleet(shape fleetShape) fleetFigures {
 	w := newWorld(7, shape.services, shape.perService, shape.domains)
 	for _, n := range w.nodes {
-		w.start(n, callsOf(w, shape.services), seedsPerDaemon)
+		w.start(n, callsOf(n, shape.services), seedsPerDaemon)
 	}
 	w.run(90 * time.Second)
 	if shape.restarting > 0 {
@@ -105,7 +109,7 @@
 	w.after(up, func() {
 		n.down = true
 		w.after(downTime, func() {
-			w.start(n, callsOf(w, shape.services), seedsPerDaemon)
+			w.start(n, callsOf(n, shape.services), seedsPerDaemon)
 			w.cycle(n, shape)
 		})
 	})
--- a/core/command/daemon/world_test.go
+++ b/core/command/daemon/world_test.go
@@ -193,7 +193,12 @@
 	self := n.self
 	self.Incarnation = model.Incarnation(n.life)
 	var addresses []model.Address
-	for _, i := range w.random.Perm(len(w.nodes))[:min(seeds, len(w.nodes))] {
+	// Half of the seeds are of the own service, whose daemons call the same services.
+	own := slices.DeleteFunc(slices.Clone(w.nodes), func(other *node) bool { return other.self.Service != n.self.Service })
+	for _, i := range w.random.Perm(len(own))[:min((seeds+1)/2, len(own))] {
+		addresses = append(addresses, own[i].self.Peer)
+	}
+	for _, i := range w.random.Perm(len(w.nodes))[:min(seeds/2, len(w.nodes))] {
 		addresses = append(addresses, w.nodes[i].self.Peer)
 	}
 	n.state = daemon.New(daemon.Settings{
