--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -44,6 +44,7 @@
 		relay.WriteFailure(w, failure)
 		return
 	}
+	relay.Duplex(w, body)
 	w.Header().Set(wire.HeaderVerdict, model.Ran.String())
 	w.Header().Set(wire.HeaderReason, model.NoReason.String())
 	if broken := relay.WriteAnswer(w, answer); broken != nil {
