--- a/cftd/feed/feed.go
+++ b/cftd/feed/feed.go
@@ -77,7 +77,7 @@
 	}
 	if err != nil {
 		f.Failures.Add(1)
-		f.settings.Log.Warn("platform not read", "error", err)
+		f.settings.Log.Warn("platform not read", "error", err.Error())
 		event.Failed = true
 	} else {
 		event.Delta = model.Delta{After: read.After, Revision: got.Revision, Changes: got.Changes}
--- a/cftd/peers/link.go
+++ b/cftd/peers/link.go
@@ -27,7 +27,7 @@
 	delete(l.network.links, l.to)
 	l.network.mu.Unlock()
 	if err != nil && l.network.ctx.Err() == nil {
-		l.network.settings.Log.Debug("peer lost", "peer", l.to, "error", err)
+		l.network.settings.Log.Debug("peer lost", "peer", l.to, "error", err.Error())
 		l.network.settings.Post(daemon.PeerLost{Address: l.to})
 	}
 }
