--- a/core/command/load/load_test.go
+++ b/core/command/load/load_test.go
@@ -141,6 +141,15 @@
 			},
 			check: func(c *qt.C, got route.Candidate) { c.Assert(got.Latency, qt.Equals, answer.Latency) },
 		},
+		{
+			name: "a call given up late counts as the least that an answer takes, an early one does not",
+			act: func(b *load.Book) {
+				repeat(b, 1, answer)
+				repeat(b, 1, load.Outcome{Result: load.Unrelated, Latency: 420 * time.Millisecond})
+				repeat(b, 1, load.Outcome{Result: load.Unrelated, Latency: time.Millisecond})
+			},
+			check: func(c *qt.C, got route.Candidate) { c.Assert(got.Latency, qt.Equals, 40*time.Millisecond) },
+		},
 		{
 			name: "a later incarnation starts anew and ignores the earlier one",
 			act: func(b *load.Book) {
