Refuse queued work of a leaving upstream, and test the door of the gate

Cause: work that waited when its upstream began to leave was still started, up to its deadline later; nothing held the pause check between dequeuing and starting. The time a caller took to read an answer counted as the upstream's, and services that are called no more stayed in the load book. Changed: the check before the start includes leaving, so that the entry tries elsewhere; latency ends where the answer begins; cftd/asks lets the book forget. Test: TestEnter; its row for leaving fails without the change.

--- a/cftd/asks/asks.go
+++ b/cftd/asks/asks.go
@@ -30,6 +30,8 @@
 	Book *load.Book
 	// Transport holds the connections to other daemons' gates.
 	Transport *http.Transport
+	// Snapshot returns the control state.
+	Snapshot func() *model.Snapshot
 	// Now reads the clock, with its monotonic part.
 	Now func() time.Time
 	// Meter counts the questions.
@@ -39,6 +41,8 @@
 // Asker asks gates.
 type Asker struct {
 	settings Settings
+	// swept is the configuration at which services that are called no more were last forgotten.
+	swept model.Revision
 }
 
 // New returns an asker.
@@ -55,11 +59,25 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			a.sweep()
 			a.spend(ctx)
 		}
 	}
 }
 
+// sweep forgets the upstreams of services that this daemon does not call any more.
+func (a *Asker) sweep() {
+	snapshot := a.settings.Snapshot()
+	if snapshot.Revision == a.swept {
+		return
+	}
+	a.swept = snapshot.Revision
+	a.settings.Book.Forget(func(service model.ServiceName) bool {
+		_, called := snapshot.Services[service]
+		return called
+	})
+}
+
 // spend asks as many gates as the budget grants now.
 func (a *Asker) spend(ctx context.Context) {
 	addresses := a.members()
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -192,6 +192,7 @@
 		Budget:    p.asking,
 		Book:      p.book,
 		Transport: p.links,
+		Snapshot:  p.control.Snapshot,
 		Now:       time.Now,
 		Meter:     p.meter,
 	})
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -161,6 +161,8 @@
 		return &model.Failure{Verdict: model.NotRun, Reason: endReason(ctx, model.TooLate)}
 	case !call.Deadline.After(now):
 		return &model.Failure{Verdict: model.NotRun, Reason: model.TooLate}
+	case leaving(snapshot):
+		return &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamLeaving}
 	case fresh.Paused(now, snapshot):
 		return &model.Failure{Verdict: model.NotRun, Reason: model.DaemonPaused}
 	}
--- /dev/null
+++ b/core/traffic/hold/hold_test.go
@@ -0,0 +1,188 @@
+package hold_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	mapset "github.com/deckarep/golang-set/v2"
+	qt "github.com/frankban/quicktest"
+
+	"comfreytack/core/command/adapt"
+	"comfreytack/core/command/admit"
+	"comfreytack/core/command/class"
+	"comfreytack/core/model"
+	"comfreytack/core/traffic/hold"
+	"comfreytack/core/traffic/kinds"
+)
+
+const (
+	self    = model.UpstreamName("reservas-1")
+	patient = time.Minute
+)
+
+// door is a gate of one slot and the control state that it sees.
+type door struct {
+	*testing.T
+	gate     *hold.Gate[*admit.Fair, adapt.Fixed]
+	snapshot model.Snapshot
+}
+
+func newDoor(t *testing.T) *door {
+	d := &door{T: t, snapshot: model.Snapshot{
+		Self:      model.Upstream{Name: self, Service: "reservas"},
+		Revision:  1,
+		Contracts: map[model.Customer]model.Contract{"police": {Customer: "police", Weight: 1}},
+		Limits:    map[model.Customer]model.Limits{"police": {Weight: 1, Queue: 4, LongSlots: 1}},
+		Services:  map[model.ServiceName]model.Service{"reservas": {Name: "reservas", Slots: 1}},
+		Leaving:   mapset.NewThreadUnsafeSet[model.UpstreamName](),
+		Ready:     true,
+		BeatAt:    time.Now(),
+	}}
+	view := func() *model.Snapshot { return &d.snapshot }
+	d.gate = hold.New(hold.Settings{
+		Snapshot: view,
+		Now:      time.Now,
+		Classes:  kinds.New(view, class.New(16)),
+	}, admit.New(1, admit.NewFair()), adapt.New(1, 1, adapt.Fixed{}))
+	return d
+}
+
+// enter returns why the call was refused, or NoReason when it holds the slot.
+func (d *door) enter(ctx context.Context) (hold.Slot, model.Reason) {
+	slot, failure := d.gate.Enter(ctx, model.Call{Customer: "police", Service: "reservas", Deadline: time.Now().Add(patient)})
+	if failure == nil {
+		return slot, model.NoReason
+	}
+	qt.Check(d, failure.Verdict, qt.Equals, model.NotRun)
+	return slot, failure.Reason
+}
+
+// queue lets a call wait and returns where its outcome comes.
+func (d *door) queue(ctx context.Context) <-chan model.Reason {
+	outcome := make(chan model.Reason, 1)
+	go func() {
+		_, reason := d.enter(ctx)
+		outcome <- reason
+	}()
+	synctest.Wait()
+	return outcome
+}
+
+func TestEnter(t *testing.T) {
+	tests := []struct {
+		name string
+		act  func(d *door) model.Reason
+		want model.Reason
+		// wantInFlight counts the slots that are held at the end.
+		wantInFlight int
+	}{
+		{
+			name:         "a free slot is taken",
+			act:          func(d *door) model.Reason { _, reason := d.enter(d.Context()); return reason },
+			wantInFlight: 1,
+		},
+		{
+			name: "a daemon without configuration refuses",
+			act: func(d *door) model.Reason {
+				d.snapshot.Ready = false
+				_, reason := d.enter(d.Context())
+				return reason
+			},
+			want: model.NotReady,
+		},
+		{
+			name: "a leaving upstream refuses",
+			act: func(d *door) model.Reason {
+				d.snapshot.Leaving.Add(self)
+				_, reason := d.enter(d.Context())
+				return reason
+			},
+			want: model.UpstreamLeaving,
+		},
+		{
+			name: "a stopping daemon refuses",
+			act: func(d *door) model.Reason {
+				d.snapshot.Stopping = true
+				_, reason := d.enter(d.Context())
+				return reason
+			},
+			want: model.Stopping,
+		},
+		{
+			name: "a call that waits starts when the slot is free",
+			act: func(d *door) model.Reason {
+				slot, _ := d.enter(d.Context())
+				outcome := d.queue(d.Context())
+				slot.Release(hold.Useful)
+				slot.Release(hold.Useful)
+				return <-outcome
+			},
+			wantInFlight: 1,
+		},
+		{
+			name: "a caller that leaves gives up its place",
+			act: func(d *door) model.Reason {
+				d.enter(d.Context())
+				ctx, cancel := context.WithCancel(d.Context())
+				outcome := d.queue(ctx)
+				cancel()
+				return <-outcome
+			},
+			want:         model.CallerGone,
+			wantInFlight: 1,
+		},
+		{
+			name: "a call that waits too long is refused",
+			act: func(d *door) model.Reason {
+				d.enter(d.Context())
+				ctx, cancel := context.WithTimeout(d.Context(), time.Second)
+				defer cancel()
+				return <-d.queue(ctx)
+			},
+			want:         model.TooLate,
+			wantInFlight: 1,
+		},
+		{
+			name: "a pause before the start is noticed, and the slot is free again",
+			act: func(d *door) model.Reason {
+				slot, _ := d.enter(d.Context())
+				outcome := d.queue(d.Context())
+				time.Sleep(10 * time.Second)
+				slot.Release(hold.Useful)
+				return <-outcome
+			},
+			want: model.DaemonPaused,
+		},
+		{
+			name: "an upstream that leaves starts nothing that still waits",
+			act: func(d *door) model.Reason {
+				slot, _ := d.enter(d.Context())
+				outcome := d.queue(d.Context())
+				d.snapshot.Leaving.Add(self)
+				slot.Release(hold.Useful)
+				return <-outcome
+			},
+			want: model.UpstreamLeaving,
+		},
+		{
+			name: "a daemon that suspects itself starts nothing",
+			act: func(d *door) model.Reason {
+				d.snapshot.Suspect = true
+				_, reason := d.enter(d.Context())
+				return reason
+			},
+			want: model.DaemonPaused,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDoor(t)
+				qt.Assert(t, test.act(d), qt.Equals, test.want)
+				qt.Assert(t, d.gate.Report().InFlight, qt.Equals, test.wantInFlight)
+			})
+		})
+	}
+}
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -98,12 +98,19 @@
 func attempt[P route.Policy, A any](ctx context.Context, s *Sender[P], call model.Call, upstream model.Upstream, carrier Carrier[A]) (A, *model.Failure) {
 	began := s.settings.Now()
 	counted := s.settings.Book.Began(upstream.Name)
+	// answeredAt is when an answer began; how fast its caller reads it tells nothing of the upstream.
+	var answeredAt time.Time
 	ended := func(result load.Result) {
 		now := s.settings.Now()
-		s.settings.Book.Ended(now, counted, load.Outcome{Result: result, Latency: now.Sub(began), Class: call.Class})
+		until := now
+		if !answeredAt.IsZero() {
+			until = answeredAt
+		}
+		s.settings.Book.Ended(now, counted, load.Outcome{Result: result, Latency: until.Sub(began), Class: call.Class})
 	}
 	s.settings.Asking.Sent()
 	answer, report, failure := carrier.Attempt(ctx, call, upstream, ended)
+	answeredAt = s.settings.Now()
 	if report != nil {
 		now := s.settings.Now()
 		s.settings.Book.Reported(now, *report)
