Keep daemons' own statuses from counting as an upstream's shedding

Cause: a service that passes on a 503 from the service below was taken for one that shed before any work, when 503 was its published shed_status: a false not_run, and attempts that multiply along a chain. Chosen: shed_status must be a status that daemons never send; the deployments and stand-ins use 529. Ruled out: trusting Retry-After or a verdict header beside the 503, which services pass on as well.

--- a/cftd/start/keyed_test.go
+++ b/cftd/start/keyed_test.go
@@ -45,7 +45,7 @@
 	case strings.HasPrefix(string(body), "dies"):
 		panic(http.ErrAbortHandler)
 	case strings.HasPrefix(string(body), "sheds"):
-		w.WriteHeader(http.StatusServiceUnavailable)
+		w.WriteHeader(statusShed)
 		return
 	case strings.HasPrefix(string(body), "large"):
 		_, _ = io.WriteString(w, strings.Repeat("x", 300_000))
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -30,12 +31,17 @@
 	portsPerProcess = 200
 	// stopMs leaves time for connections that never carried a request, which the server waits 5 s for.
 	stopMs = 10_000
+	// statusShed is what upstreams refuse with before any work.
+	statusShed = 529
 	// bulkPath has the time of long work.
 	bulkPath = "/bulk"
 )
 
 var portsTaken atomic.Int64
 
+// testOptions are the defaults of the command line.
+var testOptions = Options{Policy: "weighted_choices", Discipline: "fair", Limiter: "fixed"}
+
 // fleet is a few daemons in this process, with stand-ins for platform and upstreams.
 type fleet struct {
 	daemons []setup.Settings
@@ -103,7 +109,7 @@
 		Name:        "reservas",
 		Slots:       10,
 		Connections: 250,
-		ShedStatus:  http.StatusServiceUnavailable,
+		ShedStatus:  statusShed,
 		Routes:      []model.Route{{PathPrefix: bulkPath, Class: model.Long}},
 	}
 	for i := range size {
@@ -136,8 +142,7 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	options := Options{Policy: "weighted_choices", Discipline: "fair", Limiter: "fixed"}
-	go func() { done <- serve(ctx, settings, options, slog.New(slog.DiscardHandler)) }()
+	go func() { done <- serve(ctx, settings, testOptions, slog.New(slog.DiscardHandler)) }()
 	t.Cleanup(func() {
 		stop()
 		qt.Check(t, <-done, qt.IsNil)
@@ -171,25 +176,28 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s %s", r.Method, r.URL, r.Header.Get(wire.HeaderCustomer), body)
 }
 
-func platformOf(t *testing.T, service model.Service) http.Handler {
+func platformOf(t *testing.T, services ...model.Service) http.Handler {
 	t.Helper()
 	type change struct {
 		Key      string         `json:"key"`
 		Revision model.Revision `json:"revision"`
 		Value    any            `json:"value"`
 	}
-	document, err := json.Marshal(map[string]any{"revision": 2, "changes": []change{
-		{"contracts/police", 1, model.Contract{Customer: "police", Weight: 10, DeadlineMs: 2000, LongestMs: 20000}},
-		{"services/reservas", 2, service},
-	}})
+	contract := model.Contract{Customer: "police", Weight: 10, DeadlineMs: 2000, LongestMs: 20000}
+	changes := []change{{"contracts/police", 1, contract}}
+	for _, service := range services {
+		changes = append(changes, change{"services/" + string(service.Name), model.Revision(len(changes) + 1), service})
+	}
+	newest := strconv.Itoa(len(changes))
+	document, err := json.Marshal(map[string]any{"revision": len(changes), "changes": changes})
 	qt.Assert(t, err, qt.IsNil)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("after") == "2" {
+		if r.URL.Query().Get("after") == newest {
 			select {
 			case <-r.Context().Done():
 			case <-time.After(200 * time.Millisecond):
 			}
-			_, _ = io.WriteString(w, `{"revision":2,"changes":[]}`)
+			_, _ = io.WriteString(w, `{"revision":`+newest+`,"changes":[]}`)
 			return
 		}
 		_, _ = w.Write(document)
--- a/cftd/start/whole_test.go
+++ b/cftd/start/whole_test.go
@@ -126,7 +126,7 @@
 		{name: "no content", answer: "HTTP/1.1 204 No Content\r\n\r\n", wantStatus: 204, wantVerdict: "ran"},
 		{name: "not modified", answer: "HTTP/1.1 304 Not Modified\r\nETag: \"a\"\r\n\r\n", wantStatus: 304, wantVerdict: "ran"},
 		{name: "upstream's own error", answer: "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno", wantStatus: 500, wantVerdict: "ran", wantBody: "no"},
-		{name: "shed", answer: "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", wantStatus: 503, wantVerdict: "not_run"},
+		{name: "shed", answer: "HTTP/1.1 529 Overloaded\r\nContent-Length: 0\r\n\r\n", wantStatus: 503, wantVerdict: "not_run"},
 		{name: "forged verdict", answer: head + "Comfreytack-Verdict: not_run\r\nComfreytack-Reason: queue_full\r\nContent-Length: 2\r\n\r\nok", wantStatus: 200, wantVerdict: "ran", wantBody: "ok"},
 		{name: "nothing", answer: "", wantStatus: 502, wantVerdict: "may_have_run"},
 		{name: "reset before an answer", reset: true, wantStatus: 502, wantVerdict: "may_have_run"},
@@ -262,7 +262,7 @@
 	const (
 		dies      = ""
 		truncated = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok"
-		shed      = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		shed      = "HTTP/1.1 529 Overloaded\r\nContent-Length: 0\r\n\r\n"
 		whole     = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 	)
 	tests := []struct {
--- a/cftlab/deploy/simple.go
+++ b/cftlab/deploy/simple.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"net/http"
 
+	"comfreytack/cftlab/stub"
 	"comfreytack/core/model"
 	"comfreytack/core/setup"
 )
@@ -35,7 +35,7 @@
 			Name:        simple.Name,
 			Slots:       simpleSlots,
 			Connections: simpleConnections,
-			ShedStatus:  http.StatusServiceUnavailable,
+			ShedStatus:  stub.StatusShed,
 			Routes:      simple.Routes,
 		}
 		for number := 1; number <= simple.Upstreams; number++ {
--- a/cftlab/stub/model.go
+++ b/cftlab/stub/model.go
@@ -9,6 +9,9 @@
 	"github.com/samber/mo"
 )
 
+// StatusShed is the HTTP status by which an upstream refuses before any work, and which nothing else uses.
+const StatusShed = 529
+
 // Settings has what does not change during the life of an upstream.
 type Settings struct {
 	// Name is unique in the fleet.
@@ -35,7 +38,7 @@
 	Draining bool `json:"draining"`
 	// ColdUntil ends a cold start, during which work takes ColdFactor times as long.
 	ColdUntil time.Time `json:"cold_until"`
-	// Shed refuses every request with 503 before it runs.
+	// Shed refuses every request with StatusShed before it runs.
 	Shed bool `json:"shed"`
 	// FailFast answers every request with 500 at once.
 	FailFast bool `json:"fail_fast"`
--- a/cftlab/stub/serve.go
+++ b/cftlab/stub/serve.go
@@ -107,7 +107,7 @@
 func (u *Upstream) serveWork(w http.ResponseWriter, r *http.Request) {
 	if u.control.Current().State.Shed || !u.enter(r.Context()) {
 		w.Header().Set("Retry-After", "1")
-		http.Error(w, "shed", http.StatusServiceUnavailable)
+		http.Error(w, "shed", StatusShed)
 		return
 	}
 	defer u.leave()
--- a/cftlab/stub/stub_test.go
+++ b/cftlab/stub/stub_test.go
@@ -54,7 +54,7 @@
 			name: "draining still serves", change: stub.Change{Drain: mo.Some(true)},
 			status: 200, runs: 1, health: stub.Health{Draining: true, Slots: 10},
 		},
-		{name: "shed", change: stub.Change{Shed: mo.Some(true)}, status: 503, health: stub.Health{Slots: 10}},
+		{name: "shed", change: stub.Change{Shed: mo.Some(true)}, status: stub.StatusShed, health: stub.Health{Slots: 10}},
 		{
 			name: "fail fast", change: stub.Change{FailFast: mo.Some(true)},
 			status: 500, runs: 1, health: stub.Health{Slots: 10},
--- a/core/model/contract.go
+++ b/core/model/contract.go
@@ -34,7 +34,8 @@
 	Slots int `json:"slots"`
 	// Connections is how many connections one upstream accepts in all; at least Slots.
 	Connections int `json:"connections"`
-	// ShedStatus is the HTTP status by which upstreams refuse before any work; zero when there is none.
+	// ShedStatus is the HTTP status by which upstreams refuse before any work, and which they use for nothing
+	// else; zero when there is none. It is none of the daemons' own statuses.
 	ShedStatus int `json:"shed_status,omitempty"`
 	// Routes are tried in order; the first match wins.
 	Routes []Route `json:"routes,omitempty"`
--- a/core/query/check/check.go
+++ b/core/query/check/check.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -36,8 +37,14 @@
 	maxLongestMs   = 24 * 3600 * 1000
 	maxSlots       = 1000
 	maxConnections = 100_000
+	// leastShedStatus and mostShedStatus bound what an upstream may refuse with.
+	leastShedStatus = 400
+	mostShedStatus  = 599
 )
 
+// daemonStatuses are the HTTP statuses of daemons' refusals and failures.
+var daemonStatuses = []int{400, 403, 404, 409, 429, 431, 500, 501, 502, 503, 504}
+
 // rule is a condition on one field of a decoded value. A broken one has a field.
 type rule struct {
 	field   string
@@ -122,6 +129,7 @@
 		nameRule("name", string(s.Name)),
 		inRange("slots", s.Slots, 1, maxSlots),
 		inRange("connections", s.Connections, s.Slots, maxConnections),
+		shedRule(s.ShedStatus),
 	}
 	for i, route := range s.Routes {
 		place := fmt.Sprintf("routes.%d.path_prefix", i)
@@ -130,6 +138,15 @@
 	return first(append(rules, upstreamRules(s))...)
 }
 
+// shedRule keeps out the statuses of daemons' own refusals. An upstream that passes one on from a service
+// that it calls has worked by then, and would be taken for one that refused before any work.
+func shedRule(status int) rule {
+	const allowed = "0, or a status from 400 to 599 that daemons never send themselves, such as 529"
+	inside := status >= leastShedStatus && status <= mostShedStatus
+	free := status == 0 || inside && !slices.Contains(daemonStatuses, status)
+	return unless(free, "shed_status", strconv.Itoa(status), allowed)
+}
+
 func upstreamRules(s *model.Service) rule {
 	names := make(map[model.UpstreamName]bool, len(s.Upstreams))
 	for i, upstream := range s.Upstreams {
--- a/core/query/check/check_test.go
+++ b/core/query/check/check_test.go
@@ -29,6 +29,8 @@
 		{"member twice", "contracts/a", "{\"customer\":\"a\",\n\"customer\":\"a\"}", "contracts/a:2: customer: found duplicate object member name; allowed: JSON with each name once"},
 		{"upstream twice", "services/s", "{\"name\":\"s\",\"slots\":1,\"connections\":1,\"upstreams\":[\n" + upstream + ",\n" + upstream + "]}", "services/s:3: upstreams.1.name: found \"s-1\" twice; allowed: each name once"},
 		{"host name for address", "services/s", "{\"name\":\"s\",\"slots\":1,\"connections\":1,\"upstreams\":[" + strings.Replace(upstream, "127.0.0.1:1", "localhost:1", 1) + "]}", "services/s:1: upstreams.0.gate: found \"localhost:1\"; allowed: an IP address and port"},
+		{"a daemon's own status for shedding", "services/s", `{"name":"s","slots":1,"connections":1,"shed_status":503,"upstreams":[]}`, "services/s:1: shed_status: found 503; allowed: 0, or a status from 400 to 599 that daemons never send themselves, such as 529"},
+		{"a status of its own for shedding", "services/s", `{"name":"s","slots":1,"connections":1,"shed_status":529,"upstreams":[]}`, ""},
 		{"a good mark", "marks/s-1", `{"incarnation":7,"state":"leaving"}`, ""},
 		{"mark without incarnation", "marks/s-1", `{"state":"joining"}`, "marks/s-1:1: incarnation: found 0; allowed: at least 1"},
 		{"unknown kind", "tenants/a", `{}`, "tenants/a:1: found an unknown kind of key; allowed: contracts/CUSTOMER, services/NAME, marks/UPSTREAM"},
