--- a/cftlab/fleet/faults.go
+++ b/cftlab/fleet/faults.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -57,9 +58,16 @@
 	f.daemon(place).Kill()
 }
 
-// StopDaemon stops a daemon gracefully and waits for its end.
+// StopDaemon stops a daemon gracefully and waits for its end. It kills the daemon, and counts it, when
+// that takes longer than its settings allow.
 func (f *Fleet) StopDaemon(place deploy.Place) {
-	f.daemon(place).Stop(stopGrace)
+	allowed := time.Duration(place.Daemon.StopMs)*time.Millisecond + stopMargin
+	if f.daemon(place).Stop(allowed) {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.overdue++
 }
 
 // PauseDaemon stops all threads of a daemon until ResumeDaemon.
--- a/cftlab/fleet/fleet.go
+++ b/cftlab/fleet/fleet.go
@@ -23,10 +23,12 @@
 	readyTimeout = 30 * time.Second
 	readyPolling = 100 * time.Millisecond
 	respawnDelay = 300 * time.Millisecond
+	// stopMargin is added to the stop time that the settings allow.
+	stopMargin = 2 * time.Second
 	// stopGrace is above the stop_ms of the deployments.
 	stopGrace = 35 * time.Second
-	dirMode   = 0o755
-	fileMode  = 0o644
+	dirMode    = 0o755
+	fileMode   = 0o644
 )
 
 // Settings says what to start.
@@ -57,6 +59,8 @@
 	stopping bool
 	// deaths counts the upstreams that have died by themselves.
 	deaths int
+	// overdue counts the daemons that did not stop in the time of their settings.
+	overdue int
 }
 
 // Launch starts all processes and waits until every daemon is ready. When it fails, none is left.
@@ -206,6 +210,13 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// Overdue returns how many daemons did not stop in the time of their settings.
+func (f *Fleet) Overdue() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.overdue
+}
+
 // Usage returns the resident memory in bytes and the processor time of a daemon.
 func (f *Fleet) Usage(place deploy.Place) (int64, time.Duration, error) {
 	return f.daemon(place).Usage()
--- a/cftlab/verbs/faults.go
+++ b/cftlab/verbs/faults.go
@@ -31,6 +31,7 @@
 	Rounds      int      `long:"rounds" default:"1" description:"how many rounds, each with the next seed"`
 	Count       int      `long:"count" default:"20" description:"faults in each round"`
 	Kind        []string `long:"kind" description:"only faults of this kind; may be repeated"`
+	StopMs      int      `long:"stop-ms" default:"6000" description:"longest graceful stop of a daemon, in milliseconds"`
 	CrashRate   float64  `long:"crash-rate" description:"per second, sends one request again and again that crashes each upstream that runs it"`
 	Bin         string   `long:"bin" default:"bin" value-name:"FOLDER" description:"folder of the programs"`
 	Flag        []string `long:"flag" value-name:"FLAG" description:"passed to every daemon; may be repeated"`
@@ -46,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	deployment.Daemon.StopMs = f.StopMs
 	failed := []uint64{}
 	for round := range f.Rounds {
 		seed := f.Seed + uint64(round)
@@ -111,7 +113,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(streams.Out, "upstreams that died by themselves: %d\n", running.Deaths())
+	fmt.Fprintf(streams.Out, "upstreams that died by themselves: %d, daemons that did not stop in time: %d\n",
+		running.Deaths(), running.Overdue())
 	if err := report(streams, "faults", records, running); err != nil {
 		fmt.Fprintf(streams.Errs, "logs and run logs: %s\n", folder)
 		return err
