--- a/cftlab/fleet/fleet.go
+++ b/cftlab/fleet/fleet.go
@@ -27,8 +27,8 @@
 	stopMargin = 2 * time.Second
 	// stopGrace is above the stop_ms of the deployments.
 	stopGrace = 35 * time.Second
-	dirMode    = 0o755
-	fileMode   = 0o644
+	dirMode   = 0o755
+	fileMode  = 0o644
 )
 
 // Settings says what to start.
