--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -105,7 +105,7 @@
 		s.Start.Silent.Remove(e.Address)
 		s.Gossip.Lost(e.Address)
 	case CrashSeen:
-		s.Gossip.News = true
+		s.Gossip.Learnt(gossip.UrgentFanOut)
 	case CallFailed:
 		s.callFailed(now, e.Upstream)
 	case UpstreamProbed:
@@ -171,7 +171,7 @@
 	if outcome != config.Applied && outcome != config.Healed {
 		return
 	}
-	s.Gossip.News = true
+	s.Gossip.Learnt(gossip.FanOut)
 	s.rebuild()
 	s.renewNotice()
 }
@@ -221,7 +221,7 @@
 
 func (s *State) giveNotice(notice leave.Notice) {
 	if s.Leaves.Merge([]leave.Notice{notice}) {
-		s.Gossip.News = true
+		s.Gossip.Learnt(gossip.UrgentFanOut)
 		s.rebuild()
 	}
 }
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -15,13 +15,13 @@
 	}
 	s.Reader.Heard(now, message.Reads)
 	if s.Settings.Poison.Merge(now, message.Crashes) {
-		s.Gossip.News = true
+		s.Gossip.Learnt(gossip.UrgentFanOut)
 	}
 	news := s.Leaves.Merge(message.Leaves)
 	alive := s.Leaves.Alive(message.From)
 	aliveSelf := s.Leaves.Alive(s.self)
 	if news || alive || aliveSelf {
-		s.Gossip.News = true
+		s.Gossip.Learnt(gossip.UrgentFanOut)
 		s.rebuild()
 	}
 	s.takeValues(message)
@@ -91,10 +91,11 @@
 
 // announce tells a few peers that there is news.
 func (s *State) announce(now time.Time) []Effect {
-	if !s.Gossip.AnnounceDue(now) {
+	peers := s.Gossip.AnnounceDue(now)
+	if peers == 0 {
 		return nil
 	}
-	return s.tell(now, s.Members.Choose(now, gossip.FanOut, false, s.Settings.Random))
+	return s.tell(now, s.Members.Choose(now, peers, false, s.Settings.Random))
 }
 
 func (s *State) tell(now time.Time, addresses []model.Address) []Effect {
--- a/core/command/gossip/gossip.go
+++ b/core/command/gossip/gossip.go
@@ -24,8 +24,10 @@
 
 // The timing and bounds of gossip.
 const (
-	// FanOut is how many peers hear of news from each daemon.
+	// FanOut is how many peers hear of a new revision from each daemon; digests reach the rest.
 	FanOut = 4
+	// UrgentFanOut is how many hear of who leaves or crashes, which digests do not cover.
+	UrgentFanOut = 8
 	// DigestEvery is the time between two regular digests.
 	DigestEvery = time.Second
 	// AskTimeout is how long an answer is waited for before somebody else is asked. Each question that
@@ -98,8 +100,8 @@
 type State struct {
 	// DigestAt is when the next regular digest is due.
 	DigestAt time.Time
-	// News is true when something was learnt that has not been announced.
-	News bool
+	// News is how many peers to tell of what was learnt since the last announcement; zero when nothing was.
+	News int
 	// AnnouncedAt is when news was last announced.
 	AnnouncedAt time.Time
 	// Asked is the peer that an answer is awaited from until AskedUntil; empty when none.
@@ -129,14 +131,20 @@
 	return true
 }
 
-// AnnounceDue tells whether to announce news now.
-func (s *State) AnnounceDue(now time.Time) bool {
-	if !s.News || now.Sub(s.AnnouncedAt) < announceEvery {
-		return false
+// Learnt notes that there is news for so many peers.
+func (s *State) Learnt(peers int) {
+	s.News = max(s.News, peers)
+}
+
+// AnnounceDue returns how many peers to tell of news now; zero when there is none or it has to wait.
+func (s *State) AnnounceDue(now time.Time) int {
+	if s.News == 0 || now.Sub(s.AnnouncedAt) < announceEvery {
+		return 0
 	}
-	s.News = false
+	peers := s.News
+	s.News = 0
 	s.AnnouncedAt = now
-	return true
+	return peers
 }
 
 // MayAsk tells whether no answer is awaited, and if so notes that one is, from the given peer.
--- a/core/command/leave/leave.go
+++ b/core/command/leave/leave.go
@@ -23,7 +23,7 @@
 	// maxForeign bounds the notices of upstreams in services that are not kept.
 	maxForeign = 256
 	// sendsPerNotice is how often a daemon passes a notice on while it is news.
-	sendsPerNotice = 12
+	sendsPerNotice = 16
 	// maxPerMessage bounds the notices in one message.
 	maxPerMessage = 16
 )
