--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -46,7 +46,8 @@
 	}
 }
 
-// serve answers what the message asks for.
+// serve answers what the message asks for. Who has nothing yet gets a copy of just what it keeps, rather
+// than every change of every key, if this daemon keeps that too.
 func (s *State) serve(now time.Time, message gossip.Message) []Effect {
 	if message.Want == nil {
 		return nil
@@ -58,11 +59,13 @@
 	if message.Want.DigestOnly {
 		return []Effect{SendPeer{To: to, Message: answer}}
 	}
-	if delta, known := s.Config.Since(message.Want.After, gossip.MaxDeltaBytes); known && !message.Want.Whole {
+	covers := s.Config.Covers(message.Want.Services)
+	anew := covers && (message.Want.Whole || message.Want.After == 0)
+	if delta, known := s.Config.Since(message.Want.After, gossip.MaxDeltaBytes); known && !anew {
 		answer.Delta = &delta
 		return []Effect{SendPeer{To: to, Message: answer}}
 	}
-	if !s.Config.Covers(message.Want.Services) || !s.Gossip.MayCopy(now) {
+	if !covers || !s.Gossip.MayCopy(now) {
 		return nil
 	}
 	whole := s.Config.CopyFor(message.Want.Services)
