--- a/cftd/start/keyed_test.go
+++ b/cftd/start/keyed_test.go
@@ -60,12 +60,12 @@
 	return c.executions[body]
 }
 
-func startCounter(t *testing.T) (*counter, *fleet) {
+func startCounter(t testing.TB) (*counter, *fleet) {
 	t.Helper()
 	return startCounterBy(t, startDaemon)
 }
 
-func startCounterBy(t *testing.T, start func(*testing.T, setup.Settings)) (*counter, *fleet) {
+func startCounterBy(t testing.TB, start func(testing.TB, setup.Settings)) (*counter, *fleet) {
 	t.Helper()
 	release := make(chan struct{})
 	c := &counter{executions: map[string]int{}, release: release, letGo: sync.OnceFunc(func() { close(release) })}
@@ -74,7 +74,7 @@
 	return c, startFleetBy(t, 3, model.Address(strings.TrimPrefix(server.URL, "http://")), start)
 }
 
-func takeKeys(t *testing.T, settings setup.Settings, count int) []string {
+func takeKeys(t testing.TB, settings setup.Settings, count int) []string {
 	t.Helper()
 	answer, err := http.Post(fmt.Sprintf("http://%s/keys?customer=police&service=reservas&count=%d", settings.Callers, count), "", nil)
 	qt.Assert(t, err, qt.IsNil)
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -82,19 +82,19 @@
 }
 
 // startFleet starts daemons of one service that share one upstream stand-in, and waits until all are ready.
-func startFleet(t *testing.T, size int) *fleet {
+func startFleet(t testing.TB, size int) *fleet {
 	t.Helper()
 	upstream := httptest.NewServer(http.HandlerFunc(echo))
 	t.Cleanup(upstream.Close)
 	return startFleetOf(t, size, model.Address(strings.TrimPrefix(upstream.URL, "http://")))
 }
 
-func startFleetOf(t *testing.T, size int, upstream model.Address) *fleet {
+func startFleetOf(t testing.TB, size int, upstream model.Address) *fleet {
 	t.Helper()
 	return startFleetBy(t, size, upstream, startDaemon)
 }
 
-func startFleetBy(t *testing.T, size int, upstream model.Address, start func(*testing.T, setup.Settings)) *fleet {
+func startFleetBy(t testing.TB, size int, upstream model.Address, start func(testing.TB, setup.Settings)) *fleet {
 	t.Helper()
 	f := &fleet{}
 	service := model.Service{Name: "reservas", Slots: 10, Connections: 250, ShedStatus: http.StatusServiceUnavailable}
@@ -124,7 +124,7 @@
 	return f
 }
 
-func startDaemon(t *testing.T, settings setup.Settings) {
+func startDaemon(t testing.TB, settings setup.Settings) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -137,7 +137,7 @@
 	waitReady(t, settings)
 }
 
-func waitReady(t *testing.T, settings setup.Settings) {
+func waitReady(t testing.TB, settings setup.Settings) {
 	t.Helper()
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) {
@@ -163,7 +163,7 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s %s", r.Method, r.URL, r.Header.Get(wire.HeaderCustomer), body)
 }
 
-func platformOf(t *testing.T, service model.Service) http.Handler {
+func platformOf(t testing.TB, service model.Service) http.Handler {
 	t.Helper()
 	type change struct {
 		Key      string         `json:"key"`
@@ -190,7 +190,7 @@
 
 // freeAddress returns a loopback address that was free a moment ago. Its port is below those that the system
 // gives to outgoing connections, which could take it before the daemon listens.
-func freeAddress(t *testing.T) model.Address {
+func freeAddress(t testing.TB) model.Address {
 	t.Helper()
 	for {
 		// No two tests of this process get the same port, and those of others rarely do.
--- a/cftd/start/process_test.go
+++ b/cftd/start/process_test.go
@@ -32,7 +32,7 @@
 	running map[model.UpstreamName]*exec.Cmd
 }
 
-func (p *processes) start(t *testing.T, settings setup.Settings) {
+func (p *processes) start(t testing.TB, settings setup.Settings) {
 	t.Helper()
 	text, err := json.Marshal(settings)
 	qt.Assert(t, err, qt.IsNil)
--- /dev/null
+++ b/core/command/ledger/bench_test.go
@@ -0,0 +1,48 @@
+package ledger_test
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/samber/mo"
+
+	"comfreytack/core/command/ledger"
+	"comfreytack/core/model"
+)
+
+var benchSettings = ledger.Settings{Keys: 1024, AnswerBytes: 128 << 10, AnswerLifetime: time.Minute}
+
+// BenchmarkKey issues a key, runs its request and answers one re-send from memory.
+func BenchmarkKey(b *testing.B) {
+	book := ledger.New("reservas-2", life, benchSettings, func(text *string) int { return len(*text) })
+	now := time.Unix(1000, 0)
+	text := "cot 4"
+	b.ReportAllocs()
+	for b.Loop() {
+		key := book.Issue("police", 1)[0]
+		call := model.Call{Customer: "police", Key: mo.Some(key), Send: 1, Fingerprint: 7}
+		book.Begin(now, call)
+		book.Finish(now, call, ledger.Outcome[string]{Verdict: model.Ran, Answer: &text})
+		book.Begin(now, call)
+	}
+}
+
+// BenchmarkRemembered reports the bytes of memory for each remembered key, without its answer.
+func BenchmarkRemembered(b *testing.B) {
+	const customers = 100
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		book := ledger.New("reservas-2", life, benchSettings, func(text *string) int { return len(*text) })
+		for customer := range customers {
+			book.Issue(model.Customer(strconv.Itoa(customer)), benchSettings.Keys)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(customers*benchSettings.Keys), "B/key")
+		runtime.KeepAlive(book)
+	}
+}
--- a/core/wire/key_test.go
+++ b/core/wire/key_test.go
@@ -59,3 +59,11 @@
 		qt.Assert(t, wire.FormatKey(key), qt.Equals, text)
 	})
 }
+
+func BenchmarkParseKey(b *testing.B) {
+	text := wire.FormatKey(sampleKey)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = wire.ParseKey(text)
+	}
+}
