--- a/cftd/entry/carry.go
+++ b/cftd/entry/carry.go
@@ -41,6 +41,9 @@
 	answer, report, failure := c.one(ctx, call, upstream, request)
 	if failure == nil && call.Idempotent {
 		failure = relay.HoldAnswer(answer)
+		if failure != nil {
+			c.entry.settings.Meter.Broke(call)
+		}
 	}
 	if failure != nil {
 		c.failed = proof.Then(c.failed, failure.Verdict)
--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -92,6 +92,9 @@
 		e.settings.Meter.Truncated.WithLabelValues(string(call.Customer), string(call.Service)).Inc()
 	}
 	e.settings.Meter.Call(call, contracted, e.settings.Now().Sub(began), broken)
+	if broken != nil && broken.Reason == model.Truncated {
+		e.settings.Meter.Broke(call)
+	}
 	if broken != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/cftd/meter/meter.go
+++ b/cftd/meter/meter.go
@@ -91,3 +91,8 @@
 func (m *Meter) Send(call model.Call, action string) {
 	m.Sends.WithLabelValues(string(call.Customer), action).Inc()
 }
+
+// Broke records an answer that ended before its framing said so.
+func (m *Meter) Broke(call model.Call) {
+	m.Truncated.WithLabelValues(string(call.Customer), string(call.Service)).Inc()
+}
