--- a/cftd/start/keyed_bench_test.go
+++ b/cftd/start/keyed_bench_test.go
@@ -30,29 +30,39 @@
 			var keys []string
 			b.ReportAllocs()
 			for b.Loop() {
-				request, _ := http.NewRequest(http.MethodPost, "http://"+string(test.entry.Callers)+"/svc/reservas/holds", io.NopCloser(strings.NewReader("cot")))
-				request.ContentLength = 3
-				request.Header.Set(wire.HeaderCustomer, "police")
 				if test.keyed && len(keys) == 0 {
 					b.StopTimer()
 					keys = takeKeys(b, f.daemons[0], batch)
 					b.StartTimer()
 				}
+				request := holdRequest(test.entry)
 				if test.keyed {
 					request.Header.Set(wire.HeaderIdempotencyKey, keys[0])
 					request.Header.Set(wire.HeaderSend, "1")
 					keys = keys[1:]
 				}
-				answer, err := client.Do(request)
-				if err != nil {
-					b.Fatal(err)
-				}
-				_, _ = io.Copy(io.Discard, answer.Body)
-				_ = answer.Body.Close()
-				if answer.StatusCode != http.StatusOK {
-					b.Fatal(answer.Status, answer.Header)
-				}
+				exchangeHold(b, client, request)
 			}
 		})
 	}
 }
+
+func holdRequest(entry setup.Settings) *http.Request {
+	request, _ := http.NewRequest(http.MethodPost, "http://"+string(entry.Callers)+"/svc/reservas/holds", io.NopCloser(strings.NewReader("cot")))
+	request.ContentLength = 3
+	request.Header.Set(wire.HeaderCustomer, "police")
+	return request
+}
+
+func exchangeHold(b *testing.B, client *http.Client, request *http.Request) {
+	b.Helper()
+	answer, err := client.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		b.Fatal(answer.Status, answer.Header)
+	}
+}
