--- a/cftd/start/process_test.go
+++ b/cftd/start/process_test.go
@@ -91,7 +91,7 @@
 var (
 	homeLost = told{502, "may_have_run", "home_lost", ""}
 	gateLost = told{502, "may_have_run", "gate_lost", ""}
-	ran    = told{200, "ran", "none", "slow run 1"}
+	ran      = told{200, "ran", "none", "slow run 1"}
 )
 
 // TestProcessesThatFail kills and pauses daemons at the steps of a keyed call. In each scene the request must
