--- a/cftd/entry/carry.go
+++ b/cftd/entry/carry.go
@@ -37,6 +37,7 @@
 
 // Attempt implements send.Carrier.
 func (c *carrier) Attempt(ctx context.Context, call model.Call, upstream model.Upstream, ended func(load.Result)) (*http.Response, *model.GateReport, *model.Failure) {
+	c.entry.settings.Meter.Attempts.WithLabelValues(string(call.Service)).Inc()
 	request := c.request(upstream.Gate)
 	answer, report, failure := c.one(ctx, call, upstream, request)
 	if failure == nil && call.Idempotent {
--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -85,19 +85,22 @@
 		e.settings.Meter.Call(call, contracted, e.settings.Now().Sub(began), failure)
 		return
 	}
+	broken := e.answer(w, call, answer, verdict)
+	e.settings.Meter.Call(call, contracted, e.settings.Now().Sub(began), broken)
+	if broken != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// answer passes an answer on. After a failure the caller's connection has to be aborted.
+func (e *Entry) answer(w http.ResponseWriter, call model.Call, answer *http.Response, verdict model.Verdict) *model.Failure {
 	w.Header().Set(wire.HeaderVerdict, verdict.String())
 	w.Header().Set(wire.HeaderReason, model.NoReason.String())
 	broken := relay.WriteAnswer(w, answer)
-	if broken != nil && broken.Reason == model.Truncated {
-		e.settings.Meter.Truncated.WithLabelValues(string(call.Customer), string(call.Service)).Inc()
-	}
-	e.settings.Meter.Call(call, contracted, e.settings.Now().Sub(began), broken)
 	if broken != nil && broken.Reason == model.Truncated {
 		e.settings.Meter.Broke(call)
 	}
-	if broken != nil {
-		panic(http.ErrAbortHandler)
-	}
+	return broken
 }
 
 // run returns the answer and how often the request may have run for it.
--- a/cftd/meter/meter.go
+++ b/cftd/meter/meter.go
@@ -82,6 +82,12 @@
 	}
 }
 
+// Watch registers a counter that is read whenever metrics are gathered.
+func (m *Meter) Watch(name, help string, read func() uint64) {
+	options := prometheus.CounterOpts{Name: name, Help: help}
+	m.Registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(read()) }))
+}
+
 // Wait records how long a request waited at the gate.
 func (m *Meter) Wait(call model.Call, waited time.Duration) {
 	m.Waits.WithLabelValues(string(call.Customer), call.Class.String()).Observe(waited.Seconds())
--- a/cftd/peers/peers.go
+++ b/cftd/peers/peers.go
@@ -43,7 +43,9 @@
 	writeTimeout    = 5 * time.Second
 	idleOutgoing    = 30 * time.Second
 	idleIncoming    = 90 * time.Second
-	methodGossip    = "gossip"
+	// acceptBackoff is the wait after a connection could not be accepted, for want of descriptors for example.
+	acceptBackoff = 50 * time.Millisecond
+	methodGossip  = "gossip"
 )
 
 // Settings has the explicit dependencies of a network.
@@ -104,7 +106,11 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "accept peer")
+			n.settings.Log.Warn("accept peer", "error", err)
+			if !n.pause(ctx, acceptBackoff) {
+				return nil
+			}
+			continue
 		}
 		if !n.incoming.TryAcquire(1) {
 			_ = conn.Close()
@@ -114,6 +120,19 @@
 	}
 }
 
+// pause waits, and returns false when the network ends first.
+func (n *Network) pause(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+	case <-n.ctx.Done():
+	}
+	return false
+}
+
 func (n *Network) serveConn(ctx context.Context, conn net.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -100,6 +100,7 @@
 		book:     load.New(self, load.DefaultSettings()),
 		asking:   probe.New(time.Now(), probe.DefaultSettings()),
 	}
+	plane.watch(p.meter)
 	switch options.Discipline {
 	case "fair":
 		return buildLimiter(p, admit.NewFair())
--- a/cftd/start/control.go
+++ b/cftd/start/control.go
@@ -14,6 +14,7 @@
 
 	"comfreytack/cftd/feed"
 	"comfreytack/cftd/health"
+	"comfreytack/cftd/meter"
 	"comfreytack/cftd/peers"
 	"comfreytack/core/command/daemon"
 	"comfreytack/core/command/poison"
@@ -47,6 +48,27 @@
 	return c
 }
 
+// watch exports what the control plane counts.
+func (c *controlPlane) watch(m *meter.Meter) {
+	traffic := &c.network.Traffic
+	for _, counter := range []struct {
+		name string
+		help string
+		read func() uint64
+	}{
+		{"comfreytack_control_events_dropped_total", "Events that found the control goroutine's backlog full.", c.loop.Dropped},
+		{"comfreytack_platform_reads_total", "Reads of the platform.", c.reads.Reads.Load},
+		{"comfreytack_platform_read_failures_total", "Reads of the platform without a usable answer.", c.reads.Failures.Load},
+		{"comfreytack_peer_messages_sent_total", "Control messages sent to other daemons.", traffic.MessagesOut.Load},
+		{"comfreytack_peer_messages_received_total", "Control messages from other daemons.", traffic.MessagesIn.Load},
+		{"comfreytack_peer_bytes_sent_total", "Bytes of control messages sent.", traffic.BytesOut.Load},
+		{"comfreytack_peer_bytes_received_total", "Bytes of control messages received.", traffic.BytesIn.Load},
+		{"comfreytack_peer_messages_dropped_total", "Control messages that a full queue did not take.", traffic.Dropped.Load},
+	} {
+		m.Watch(counter.name, counter.help, counter.read)
+	}
+}
+
 // run runs the control goroutine, and the goroutines that carry its effects out, until ctx ends.
 func (c *controlPlane) run(ctx context.Context, listener net.Listener) error {
 	c.ctx = ctx
