Revert: give starting daemons a copy of what they keep

Found: a daemon that started from a copy has no recent changes, so it can answer nobody who asks for the changes after a revision; with 30% restarting that is most of the fleet. Conclusion: bytes are cheaper than the ability to answer.

--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -46,8 +46,7 @@
 	}
 }
 
-// serve answers what the message asks for. Who has nothing yet gets a copy of just what it keeps, rather
-// than every change of every key, if this daemon keeps that too.
+// serve answers what the message asks for.
 func (s *State) serve(now time.Time, message gossip.Message) []Effect {
 	if message.Want == nil {
 		return nil
@@ -59,17 +58,15 @@
 	if message.Want.DigestOnly {
 		return []Effect{SendPeer{To: to, Message: answer}}
 	}
-	delta, known := s.Config.Since(message.Want.After, gossip.MaxDeltaBytes)
-	copyFits := !known || message.Want.Whole || message.Want.After == 0
-	if copyFits && s.Config.Covers(message.Want.Services) && s.Gossip.MayCopy(now) {
-		whole := s.Config.CopyFor(message.Want.Services)
-		answer.Copy = &whole
+	if delta, known := s.Config.Since(message.Want.After, gossip.MaxDeltaBytes); known && !message.Want.Whole {
+		answer.Delta = &delta
 		return []Effect{SendPeer{To: to, Message: answer}}
 	}
-	if !known || message.Want.Whole {
+	if !s.Config.Covers(message.Want.Services) || !s.Gossip.MayCopy(now) {
 		return nil
 	}
-	answer.Delta = &delta
+	whole := s.Config.CopyFor(message.Want.Services)
+	answer.Copy = &whole
 	return []Effect{SendPeer{To: to, Message: answer}}
 }
 
