--- a/core/command/ledger/ledger.go
+++ b/core/command/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"comfreytack/core/model"
+	"comfreytack/core/query/proof"
 )
 
 // noneClosed is the Closed of an entry of which no send was told not_run.
@@ -121,7 +122,8 @@
 		return refuse[A](model.NotRun, model.BadRequest)
 	}
 	if key.Home != l.home || key.Incarnation != l.incarnation {
-		return refuse[A](model.MayHaveRun, model.HomeLost)
+		// A later life of the home knows no more of the key than any other daemon.
+		return refuse[A](proof.Keyed(model.NotRun, proof.Bystander, call.Send), model.HomeLost)
 	}
 	entry, refusal := l.find(call.Customer, key.Sequence)
 	if entry == nil {
