Match routes at the entry as the gate does

Cause: the entry matched path prefixes by characters and the gate by whole segments, so that POST /shared counted as idempotent, and could run twice, where only /share was published so. Changed: the entry calls class.Named, which the gate's class book uses, in place of its own loop. Checked: make check.

--- a/cftd/entry/call.go
+++ b/cftd/entry/call.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"comfreytack/core/command/class"
 	"comfreytack/core/model"
 	"comfreytack/core/wire"
 )
@@ -45,7 +46,7 @@
 	if !known {
 		return call, refuse(model.NoService)
 	}
-	call.Class, call.Idempotent = classify(published.Routes, r.Method, path)
+	call.Class, call.Idempotent = classify(published, r.Method, path)
 	return call, setDeadline(&call, r.Header, limits, now)
 }
 
@@ -69,15 +70,10 @@
 	return service, "/" + path
 }
 
-// classify finds the first route that matches. Requests without one are short.
-func classify(routes []model.Route, method, path string) (model.Class, bool) {
-	idempotent := slices.Contains(idempotentMethods, method)
-	for _, route := range routes {
-		if (route.Method == "" || route.Method == method) && strings.HasPrefix(path, route.PathPrefix) {
-			return route.Class, idempotent || route.Idempotent
-		}
-	}
-	return model.Short, idempotent
+// classify goes by the first route that matches, as the gate does. Requests without one are short.
+func classify(service model.Service, method, path string) (model.Class, bool) {
+	route, _ := class.Named(service, method, path)
+	return route.Class, route.Idempotent || slices.Contains(idempotentMethods, method)
 }
 
 // setDeadline takes the shorter of what the caller asks and what the contract allows.
