Read large changes from the store instead of passing them on

Besides, a daemon opened at most 64 connections to others, so in a fleet of 68 or 88 some never heard of reads.

Ruled out: compressing what is passed on; a copy from the store costs 1.8 in calls, one between zones 9, and the store has a hundred times the link.

Change: a larger change is not pushed. Who hears of a revision that it lacks reads the store at once, and asks a peer when that fails or takes over 0.7 s. A daemon may have as many connections as a fleet that it tells has daemons.

--- a/cftd/peers/bounds_test.go
+++ b/cftd/peers/bounds_test.go
@@ -84,3 +84,27 @@
 		})
 	}
 }
+
+// TestSendToAll checks that a daemon reaches every other of a fleet in which it has to tell all of its reads.
+func TestSendToAll(t *testing.T) {
+	const fleet = 100
+	events := make(chan daemon.Event, fleet)
+	post := func(e daemon.Event) bool { events <- e; return true }
+	log := slog.New(slog.DiscardHandler)
+	receiver := peers.New(peers.Settings{Post: post, Log: log})
+	defer receiver.Close()
+	sender := peers.New(peers.Settings{Post: post, Log: log})
+	defer sender.Close()
+	for range fleet {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		go func() { _ = receiver.Serve(context.Background(), listener) }()
+		message := gossip.Message{From: model.Peer{Name: "a", Address: "10.0.0.1:2"}}
+		sender.Send(daemon.SendPeer{To: model.Address(listener.Addr().String()), Message: message})
+	}
+	for range fleet {
+		_, heard := (<-events).(daemon.PeerSaid)
+		qt.Assert(t, heard, qt.IsTrue)
+	}
+	qt.Assert(t, sender.Traffic.Dropped.Load(), qt.Equals, uint64(0))
+}
--- a/cftd/peers/peers.go
+++ b/cftd/peers/peers.go
@@ -36,8 +36,9 @@
 const (
 	// MaxMessageBytes is the largest message that is sent or taken.
 	MaxMessageBytes = 16 << 20
-	maxIncoming     = 128
-	maxOutgoing     = 64
+	// maxOutgoing lets a daemon tell all others of its reads, and maxIncoming lets it hear from all of them.
+	maxOutgoing     = daemon.MostTold
+	maxIncoming     = daemon.MostTold
 	queueLength     = 16
 	dialTimeout     = time.Second
 	writeTimeout    = 5 * time.Second
--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -51,6 +51,8 @@
 	// Reader decides when to read the platform, or Lease if the settings say so.
 	Reader *reader.State
 	Lease  *lease.State
+	// Told is the newest revision that peers were heard to have.
+	Told Told
 	// Gossip decides when to speak.
 	Gossip *gossip.State
 	// Lapses has the upstreams whose entries vanished during an outage of the platform.
@@ -77,6 +79,15 @@
 	notLive []model.UpstreamName
 }
 
+// Told is what peers have and this daemon may lack.
+type Told struct {
+	// Revision is the newest one that a peer has in force.
+	Revision model.Revision
+	// Since is when this daemon first heard of changes that it lacked, without a moment in between at which it
+	// had all that it had heard of.
+	Since time.Time
+}
+
 // New returns the state of a daemon that has learnt nothing yet.
 func New(settings Settings, now time.Time) *State {
 	if settings.Poison == nil {
@@ -182,6 +193,8 @@
 		return nil
 	}
 	s.apply(now, func() config.Outcome { return s.take(e) })
+	// Whatever a peer has beyond a read that shows the newest state will show in its next word.
+	s.Told.Revision = s.Config.Complete
 	s.Start.platformRead(s.Members.Everyone())
 	if !s.Settings.Leased || !current {
 		return nil
--- a/core/command/daemon/listed_test.go
+++ b/core/command/daemon/listed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -145,9 +146,8 @@
 	}
 }
 
-// gone has the daemon read that an instance is gone and returns whom it tells.
-func (l *listing) gone(id model.InstanceID) []daemon.SendPeer {
-	change := gone(id)
+// reads has the daemon read a change and returns whom it tells.
+func (l *listing) reads(change model.Change) []daemon.SendPeer {
 	change.Revision = l.revision
 	delta := model.Delta{After: l.revision - 1, Revision: l.revision, Changes: []model.Change{change}}
 	l.revision++
@@ -168,7 +168,7 @@
 		l.read(instance("i-1", 1, 10, 1, model.Live), instance("i-3", 3, 10, 1, model.Live))
 		l.settle()
 	}
-	told := reader.gone("i-1")
+	told := reader.reads(gone("i-1"))
 	qt.Assert(t, told, qt.HasLen, 1)
 	qt.Assert(t, told[0].To, qt.Equals, model.Address("10.1.0.3:7635"))
 	qt.Assert(t, told[0].Message.Delta.Changes, qt.HasLen, 1)
@@ -181,11 +181,79 @@
 	qt.Assert(t, other.state.Lease.FreshAt, qt.Equals, other.now)
 }
 
+// largeDocument returns a document that is too large to go along with the word of a read.
+func largeDocument(version int) string {
+	routes := make([]string, 400)
+	for i := range routes {
+		routes[i] = fmt.Sprintf(`{"name":"r-%d","host":"beds.example","path_prefix":"/p%d/","timeout_ms":1500,"target_ms":800,"rank":1,`+
+			`"attempts":2,"targets":[{"service":"reservas","weight":1}]}`, i, i)
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"reservas","connections":260,"health_path":"/health"}],`+
+		`"intake":{"max_body_bytes":1000}}`, version, strings.Join(routes, ","))
+}
+
+// TestLargeChangesAreRead checks that a large change is not passed on between daemons that reach the platform: who
+// hears of it reads at once, and asks a peer when that fails or takes long.
+func TestLargeChangesAreRead(t *testing.T) {
+	tests := []struct {
+		name string
+		// fails says that the read which follows fails.
+		fails bool
+		// after is how long after the first word the next one comes.
+		after time.Duration
+		reads bool
+		asks  bool
+	}{
+		{name: "at the next word", after: 100 * time.Millisecond, reads: true},
+		{name: "the read takes long", after: 700 * time.Millisecond, reads: true, asks: true},
+		{name: "the read fails", fails: true, after: 100 * time.Millisecond, reads: true, asks: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reader, other := newListing(t), newListing(t)
+			for _, l := range []*listing{reader, other} {
+				l.read(instance("i-1", 1, 10, 1, model.Live), instance("i-3", 3, 10, 1, model.Live))
+				l.settle()
+			}
+			told := reader.reads(published("document", largeDocument(9)))
+			qt.Assert(t, told, qt.HasLen, 1)
+			message := told[0].Message
+			qt.Assert(t, message.Delta, qt.IsNil)
+			message.From.Name, message.From.Address = "10.1.0.3", "10.1.0.3:7635"
+			asked, _ := wants(other.state.Apply(other.now, daemon.PeerSaid{Message: message}))
+			qt.Assert(t, asked, qt.IsFalse)
+
+			other.now = other.now.Add(100 * time.Millisecond)
+			_, reads := wants(other.state.Beat(other.now, 0))
+			qt.Assert(t, reads, qt.Equals, test.reads)
+			if test.fails {
+				other.state.Apply(other.now, daemon.ChangesRead{Failed: true})
+			}
+			other.now = other.now.Add(test.after - 100*time.Millisecond)
+			asked, _ = wants(other.state.Apply(other.now, daemon.PeerSaid{Message: message}))
+			qt.Assert(t, asked, qt.Equals, test.asks)
+		})
+	}
+}
+
+// wants tells whether effects ask a peer for values, and whether they read the platform.
+func wants(effects []daemon.Effect) (asks, reads bool) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case daemon.SendPeer:
+			asks = asks || e.Message.Want != nil
+		case daemon.ReadPlatform:
+			reads = true
+		}
+	}
+	return asks, reads
+}
+
 // TestNobodyIsToldAtTheStart checks that a daemon which has just started tells nobody of its reads.
 func TestNobodyIsToldAtTheStart(t *testing.T) {
 	l := newListing(t)
 	l.read(instance("i-1", 1, 10, 1, model.Live), instance("i-3", 3, 10, 1, model.Live))
-	qt.Assert(t, l.gone("i-1"), qt.HasLen, 0)
+	qt.Assert(t, l.reads(gone("i-1")), qt.HasLen, 0)
 }
 
 // TestReadyWithTheFirstRead checks that a daemon whose platform is never behind serves as soon as it has read it.
--- a/core/command/daemon/reads.go
+++ b/core/command/daemon/reads.go
@@ -13,14 +13,16 @@
 )
 
 const (
-	// maxPushBytes bounds the changes that a daemon sends along with word of its read, but for a single larger one.
-	// Who misses some asks for them.
+	// maxPushBytes bounds the changes that a daemon sends along with word of its read. Larger ones cost the others
+	// less when they read them themselves than they would cost the one link that all copies had to leave by.
 	maxPushBytes = 16 << 10
+	// ownReadTime is how long a daemon that lacks changes waits for its own read before it asks a peer as well.
+	ownReadTime = 700 * time.Millisecond
 	// startingFor is how long a daemon counts as having just started.
 	startingFor = 2 * time.Second
-	// mostTold is the largest fleet in which a daemon tells all others of its reads. In a larger one it tells its
+	// MostTold is the largest fleet in which a daemon tells all others of its reads. In a larger one it tells its
 	// sample, and more daemons read.
-	mostTold = 256
+	MostTold = 256
 	// lastRank is the rank of all daemons behind it, so that knowledge stays fresh when many of them are gone.
 	lastRank = 10
 )
@@ -28,7 +30,7 @@
 // readDue tells whether to start a read of the platform now.
 func (s *State) readDue(now time.Time) bool {
 	if s.Settings.Leased {
-		return s.Lease.Beat(now, s.readRank(now))
+		return s.Lease.Beat(now, s.readRank(now), s.lacks())
 	}
 	return s.Reader.Beat(now, s.Settings.Random)
 }
@@ -62,9 +64,26 @@
 	return now.Sub(s.Start.At) < startingFor
 }
 
+// lacks tells whether a peer has told of changes that this daemon does not have.
+func (s *State) lacks() bool { return s.Told.Revision > s.Config.Complete }
+
+// told notes the revision that a peer has in force.
+func (s *State) told(now time.Time, revision model.Revision) {
+	if revision <= s.Config.Complete || revision <= s.Told.Revision {
+		return
+	}
+	if !s.lacks() {
+		s.Told.Since = now
+	}
+	s.Told.Revision = revision
+}
+
 // readsForItself tells whether the daemon's own reads are about to tell it what a peer could.
 func (s *State) readsForItself(now time.Time) bool {
-	return s.Settings.Leased && s.starting(now) && s.Lease.Failures == 0
+	if !s.Settings.Leased || s.Lease.Failures > 0 {
+		return false
+	}
+	return s.starting(now) || now.Sub(s.Told.Since) < ownReadTime
 }
 
 // readRank counts the daemons that read before this one, without those that could not be reached lately.
@@ -81,7 +100,7 @@
 // toldOfReads returns the daemons that are told of reads, in order of their names.
 func (s *State) toldOfReads(now time.Time) []model.Peer {
 	peers := s.Members.Sample
-	if len(s.listed) <= mostTold {
+	if len(s.listed) <= MostTold {
 		peers = s.others
 	}
 	return slices.DeleteFunc(slices.Clone(peers), func(peer model.Peer) bool {
@@ -115,7 +134,7 @@
 		return nil
 	}
 	delta, known := s.Config.Since(since, maxPushBytes)
-	if !known || delta.Revision != s.Config.Complete {
+	if !known || delta.Revision != s.Config.Complete || delta.Bytes() > maxPushBytes {
 		return nil
 	}
 	return &delta
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -78,6 +78,7 @@
 func (s *State) compare(now time.Time, message gossip.Message) []Effect {
 	own := s.digest()
 	from := message.From.Address
+	s.told(now, message.Digest.Revision)
 	ask := message.Digest.Revision > own.Revision && !s.readsForItself(now)
 	heal := s.Gossip.HealDue(now, own, message.Digest)
 	if (ask || heal) && s.Gossip.MayAsk(now, from) {
--- a/core/command/lease/lease.go
+++ b/core/command/lease/lease.go
@@ -64,12 +64,13 @@
 // New returns the state of a daemon that knows nothing.
 func New() *State { return &State{} }
 
-// Beat tells whether to start a read now. The rank counts the daemons that go before this one.
-func (s *State) Beat(now time.Time, rank int) bool {
+// Beat tells whether to start a read now. The rank counts the daemons that go before this one; lacks says
+// that others are known to have changes that this daemon does not have.
+func (s *State) Beat(now time.Time, rank int, lacks bool) bool {
 	if s.InFlight || now.Before(s.DueAt) {
 		return false
 	}
-	if !s.leads(now) && now.Sub(s.FreshAt) < Limit+time.Duration(rank)*Step {
+	if !lacks && !s.leads(now) && now.Sub(s.FreshAt) < Limit+time.Duration(rank)*Step {
 		return false
 	}
 	s.InFlight = true
--- a/core/command/lease/lease_test.go
+++ b/core/command/lease/lease_test.go
@@ -31,6 +31,7 @@
 		steps []func(*lease.State)
 		at    time.Duration
 		rank  int
+		lacks bool
 		want  bool
 	}{
 		{name: "at the start", want: true},
@@ -45,6 +46,8 @@
 		{name: "not to a worse one", steps: []func(*lease.State){read(0, true), heard(5*ms, 0, false)}, at: 100 * ms, rank: 5, want: true},
 		{name: "not at once after a failure", steps: []func(*lease.State){read(0, false)}, at: 50 * ms},
 		{name: "soon after a failure", steps: []func(*lease.State){read(0, false)}, at: 130 * ms, want: true},
+		{name: "fresh knowledge, but others have more", steps: []func(*lease.State){heard(0, 0, true)}, at: 50 * ms, rank: 9, lacks: true, want: true},
+		{name: "others have more, not at once after a failure", steps: []func(*lease.State){read(0, false)}, at: 50 * ms, lacks: true},
 		{name: "not beside an own read", steps: []func(*lease.State){func(s *lease.State) { s.InFlight = true }}, at: time.Minute},
 	}
 	for _, test := range tests {
@@ -53,7 +56,7 @@
 			for _, step := range test.steps {
 				step(s)
 			}
-			qt.Assert(t, s.Beat(start.Add(test.at), test.rank), qt.Equals, test.want)
+			qt.Assert(t, s.Beat(start.Add(test.at), test.rank, test.lacks), qt.Equals, test.want)
 		})
 	}
 }
--- a/core/model/change.go
+++ b/core/model/change.go
@@ -25,6 +25,15 @@
 	Changes []Change `json:"changes,omitempty"`
 }
 
+// Bytes is the size of all values of the run.
+func (d *Delta) Bytes() int {
+	size := 0
+	for _, change := range d.Changes {
+		size += len(change.Value)
+	}
+	return size
+}
+
 // Refusal says why a published value is not in force.
 type Refusal struct {
 	// Key and Revision name the change that was refused.
