Serve calls that servers make first

Change: a call whose ID names a request that the upstream beside the entry is working on is nested: gates take it before all ranks, and as in time until its deadline. The project's own interface has Comfreytack-Parent-Request-Id.

What is still missing is admission that knows how long it will take.

--- a/cftd/entry/carry.go
+++ b/cftd/entry/carry.go
@@ -17,6 +17,7 @@
 type LocalGate interface {
 	Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure)
 	Report() model.GateReport
+	Runs(id string) bool
 }
 
 // carrier takes attempts of one call to gates.
--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -79,6 +79,7 @@
 	if !call.Target.IsZero() {
 		call.Target = call.Target.Add(-e.settings.Spent.Before(began, call.Route, call.Asked))
 	}
+	call.Nested = call.Parent != "" && e.settings.Local.Runs(call.Parent)
 	_, contracted := snapshot.Contracts[call.Customer]
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -171,6 +171,9 @@
 	return &model.Failure{Verdict: model.MayHaveRun, Reason: model.UpstreamDied, Cause: body.Broken()}
 }
 
+// Runs tells whether the upstream is working on the request with the given ID.
+func (g *Gate[H, D]) Runs(id string) bool { return g.settings.Flight.Runs(id) }
+
 // Report describes the gate's load.
 func (g *Gate[H, D]) Report() model.GateReport {
 	report := g.hold.Report()
--- a/cftd/peers/peers.go
+++ b/cftd/peers/peers.go
@@ -37,13 +37,13 @@
 	// MaxMessageBytes is the largest message that is sent or taken.
 	MaxMessageBytes = 16 << 20
 	// maxOutgoing lets a daemon tell all others of its reads, and maxIncoming lets it hear from all of them.
-	maxOutgoing     = daemon.MostTold
-	maxIncoming     = daemon.MostTold
-	queueLength     = 16
-	dialTimeout     = time.Second
-	writeTimeout    = 5 * time.Second
-	idleOutgoing    = 30 * time.Second
-	idleIncoming    = 90 * time.Second
+	maxOutgoing  = daemon.MostTold
+	maxIncoming  = daemon.MostTold
+	queueLength  = 16
+	dialTimeout  = time.Second
+	writeTimeout = 5 * time.Second
+	idleOutgoing = 30 * time.Second
+	idleIncoming = 90 * time.Second
 	// acceptBackoff is the wait after a connection could not be accepted, for want of descriptors for example.
 	acceptBackoff = 50 * time.Millisecond
 	methodGossip  = "gossip"
--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -47,13 +47,15 @@
 	Target time.Time
 	// Insist asks for a slot among the last ones.
 	Insist bool
+	// Nested tickets are calls of work that has begun elsewhere. They go first, and count as in time until Deadline.
+	Nested bool
 	// Work is how long the ticket is expected to hold its slot. The gate sets it on arrival.
 	Work time.Duration
 }
 
 // target returns the time by which the ticket is best answered.
 func (t *Ticket) target() time.Time {
-	if t.Target.IsZero() {
+	if t.Target.IsZero() || t.Nested {
 		return t.Deadline
 	}
 	return t.Target
--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -301,7 +301,7 @@
 	if ticket.Target.IsZero() {
 		return ticket.Deadline.Sub(now) - wait - expected.cautious()
 	}
-	return ticket.Target.Sub(now) - wait - expected.average()
+	return ticket.target().Sub(now) - wait - expected.average()
 }
 
 // Work returns the mean service time to expect of a ticket; zero before the first was measured.
--- a/core/command/admit/ranked.go
+++ b/core/command/admit/ranked.go
@@ -6,10 +6,11 @@
 	"comfreytack/core/model"
 )
 
-// Ranked serves the lowest rank first and, within a rank, the ticket whose answer loses its full worth
-// first. A ticket that can no longer be answered within its target gives way to every one that can.
+// Ranked serves nested tickets first, then the lowest rank and, within a rank, the ticket whose answer loses its
+// full worth first. A ticket that can no longer be answered within its target gives way to every one that can.
 //
 //	waiting: rank 1 in time, rank 0 past its target, rank 0 in time  ->  rank 0 in time, rank 1, rank 0
+//	waiting: rank 0, nested of rank 2                                ->  nested of rank 2, rank 0
 type Ranked struct {
 	now     func() time.Time
 	waiting []Ticket
@@ -44,6 +45,9 @@
 
 // goesBefore tells whether a is served before b.
 func goesBefore(now time.Time, a, b *Ticket) bool {
+	if a.Nested != b.Nested {
+		return a.Nested
+	}
 	lateA, lateB := late(now, a), late(now, b)
 	if lateA != lateB {
 		return lateB
--- a/core/command/admit/ranked_test.go
+++ b/core/command/admit/ranked_test.go
@@ -20,6 +20,11 @@
 	}
 }
 
+func nested(ticket admit.Ticket) admit.Ticket {
+	ticket.Nested = true
+	return ticket
+}
+
 func TestRankedOrder(t *testing.T) {
 	const ms = time.Millisecond
 	tests := []struct {
@@ -34,6 +39,11 @@
 			tickets: []admit.Ticket{rankedTicket(1, 0, 20*ms), rankedTicket(2, 2, 200*ms), rankedTicket(3, 0, 200*ms)},
 			want:    []uint64{3, 2, 1},
 		},
+		{
+			name:    "calls of work that has begun go first, also past their target",
+			tickets: []admit.Ticket{rankedTicket(1, 0, 200*ms), nested(rankedTicket(2, 2, 200*ms)), nested(rankedTicket(3, 2, 20*ms))},
+			want:    []uint64{3, 2, 1},
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -71,6 +81,7 @@
 		{name: "but not from who has no other place", running: 8, ticket: insist(rankedTicket(100, 0, 200*ms)), want: admit.Start},
 		{name: "a wait that fits", running: 10, ticket: insist(rankedTicket(100, 0, 200*ms)), want: admit.Wait},
 		{name: "a wait that would miss the target", running: 10, ticket: insist(rankedTicket(100, 0, 40*ms)), want: admit.Refuse, reason: model.TooLate},
+		{name: "a wait that a call of begun work can afford", running: 10, ticket: insist(nested(rankedTicket(100, 0, 40*ms))), want: admit.Wait},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -28,6 +28,10 @@
 	Instance InstanceID
 	// Insist asks a gate to take the call although its upstream is slow at the moment: no other is left.
 	Insist bool
+	// Parent is the ID of the request whose run made this call, as its sender says; empty when it says none.
+	Parent string
+	// Nested says that the upstream beside the entry is working on Parent: refusing the call wastes that work.
+	Nested bool
 	// Origin is the service of the upstream beside the entry.
 	Origin ServiceName
 	// Method and Path choose the Route.
--- a/core/traffic/flight/flight.go
+++ b/core/traffic/flight/flight.go
@@ -39,7 +39,9 @@
 
 	mu      sync.Mutex
 	running map[*Run]struct{}
-	broken  []breakage
+	// ids counts the running requests by their IDs.
+	ids    map[string]int
+	broken []breakage
 	// life is the incarnation that the last crash was charged to; it rises with each crash.
 	life      model.Incarnation
 	crashedAt time.Time
@@ -52,6 +54,7 @@
 // Run is one request that was let through.
 type Run struct {
 	flight      *Flight
+	id          string
 	fingerprint model.Fingerprint
 	alone       bool
 	// startedAt is when the request went to the upstream; zero while it waits.
@@ -68,6 +71,7 @@
 	return &Flight{
 		settings: settings,
 		running:  map[*Run]struct{}{},
+		ids:      map[string]int{},
 		life:     settings.Self.Incarnation,
 		turned:   make(chan struct{}),
 	}
@@ -82,9 +86,9 @@
 		case poison.Barred:
 			return nil, &model.Failure{Verdict: model.NotRun, Reason: model.Quarantined}
 		case poison.Free:
-			return &Run{flight: f, fingerprint: call.Fingerprint}, nil
+			return &Run{flight: f, id: call.ID, fingerprint: call.Fingerprint}, nil
 		case poison.Alone:
-			return &Run{flight: f, fingerprint: call.Fingerprint, alone: true}, nil
+			return &Run{flight: f, id: call.ID, fingerprint: call.Fingerprint, alone: true}, nil
 		case poison.Busy:
 		}
 		select {
@@ -102,6 +106,14 @@
 	defer f.mu.Unlock()
 	r.startedAt = f.settings.Now()
 	f.running[r] = struct{}{}
+	f.ids[r.id]++
+}
+
+// Runs tells whether the upstream is working on the request with the given ID.
+func (f *Flight) Runs(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ids[id] > 0
 }
 
 // End tells how the request ended: with a whole answer, or with a failure.
@@ -121,7 +133,7 @@
 func (f *Flight) leave(r *Run, failure *model.Failure) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.running, r)
+	f.forget(r)
 	if failure == nil || failure.Reason != model.UpstreamDied {
 		return
 	}
@@ -130,6 +142,18 @@
 	go f.confirm(r.startedAt, now)
 }
 
+// forget takes the run out, if it had started. The caller holds the lock.
+func (f *Flight) forget(r *Run) {
+	if _, started := f.running[r]; !started {
+		return
+	}
+	delete(f.running, r)
+	f.ids[r.id]--
+	if f.ids[r.id] == 0 {
+		delete(f.ids, r.id)
+	}
+}
+
 // confirm charges a crash if the upstream is down behind a broken connection.
 func (f *Flight) confirm(startedAt, brokenAt time.Time) {
 	if !f.settings.Down() {
--- a/core/traffic/flight/flight_test.go
+++ b/core/traffic/flight/flight_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -31,7 +32,7 @@
 }
 
 func (h *host) begin(fingerprint model.Fingerprint) *flight.Run {
-	run, failure := h.flight.Begin(context.Background(), model.Call{Fingerprint: fingerprint})
+	run, failure := h.flight.Begin(context.Background(), model.Call{ID: fmt.Sprintf("req-%d", fingerprint), Fingerprint: fingerprint})
 	qt.Assert(h, failure == nil, qt.IsTrue)
 	return run
 }
@@ -142,6 +143,31 @@
 	}
 }
 
+// TestRuns checks which requests count as running on the upstream.
+func TestRuns(t *testing.T) {
+	tests := []struct {
+		name string
+		act  func(*host)
+		want bool
+	}{
+		{name: "nothing ran", act: func(*host) {}},
+		{name: "waiting", act: func(h *host) { h.begin(1) }},
+		{name: "running", act: func(h *host) { h.start(1) }, want: true},
+		{name: "refused while it waited", act: func(h *host) { h.begin(1).End(gone) }},
+		{name: "over", act: func(h *host) { h.start(1).End(nil) }},
+		{name: "one of two sends over", act: func(h *host) { h.start(1); h.start(1).End(nil) }, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHost(t)
+				test.act(h)
+				qt.Assert(t, h.flight.Runs("req-1"), qt.Equals, test.want)
+			})
+		})
+	}
+}
+
 // TestSuspectsRunAlone checks that a second suspect waits for the first, without polling.
 func TestSuspectsRunAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -139,6 +139,7 @@
 		Rank:      call.Rank,
 		Target:    call.Target,
 		Insist:    call.Insist,
+		Nested:    call.Nested,
 	}
 	decision := g.gate.Arrive(now, ticket)
 	g.takeOverruns()
--- a/core/wire/call.go
+++ b/core/wire/call.go
@@ -30,6 +30,7 @@
 	fieldInstance    = "n"
 	fieldOrigin      = "o"
 	fieldInsist      = "y"
+	fieldNested      = "w"
 )
 
 const (
@@ -61,6 +62,7 @@
 	flag(fieldIdempotent, call.Idempotent)
 	flag(fieldSuspect, call.Suspect)
 	flag(fieldInsist, call.Insist)
+	flag(fieldNested, call.Nested)
 	if call.Fingerprint != 0 {
 		put(fieldFingerprint, strconv.FormatUint(uint64(call.Fingerprint), fingerprintHex))
 	}
@@ -89,6 +91,7 @@
 		Idempotent: fields.Get(fieldIdempotent) == flagSet,
 		Suspect:    fields.Get(fieldSuspect) == flagSet,
 		Insist:     fields.Get(fieldInsist) == flagSet,
+		Nested:     fields.Get(fieldNested) == flagSet,
 		Route:      fields.Get(fieldRoute),
 		Instance:   model.InstanceID(fields.Get(fieldInstance)),
 		Origin:     model.ServiceName(fields.Get(fieldOrigin)),
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -19,6 +19,7 @@
 	HeaderCustomer       = "Comfreytack-Customer"
 	HeaderDeadlineMs     = "Comfreytack-Deadline-Ms"
 	HeaderRequestID      = "Comfreytack-Request-Id"
+	HeaderParentID       = "Comfreytack-Parent-Request-Id"
 	HeaderVerdict        = "Comfreytack-Verdict"
 	HeaderReason         = "Comfreytack-Reason"
 	HeaderIdempotencyKey = "Idempotency-Key"
