Prefer upstreams of the own failure domain, also where a service has many

Change: up to half of a subset are near upstreams; near_first compares all near ones with three far ones, and a far one must be twice as good. One that would rather not take a call counts threefold, so that a far one at ease goes first.

--- a/core/command/load/load.go
+++ b/core/command/load/load.go
@@ -179,7 +179,7 @@
 		}
 	}
 	g := &group{source: upstreams}
-	for _, upstream := range subset.Of(b.self.Name, live, b.settings.SubsetSize) {
+	for _, upstream := range subset.Near(b.self, live, b.settings.SubsetSize) {
 		l, known := old.lives[upstream.Name]
 		if !known || l.incarnation < upstream.Incarnation {
 			l = &life{incarnation: upstream.Incarnation, firstSeen: now}
--- a/core/query/route/names.go
+++ b/core/query/route/names.go
@@ -22,7 +22,10 @@
 	exploreOneIn    = 400
 	// manyChoices compares all upstreams of a small service.
 	manyChoices = 8
-	farFactor   = 1.25
+	// farFactor keeps calls near although reports and latencies differ somewhat; nearStrain is above it, so that
+	// a far upstream at ease goes before a near one that would rather not take a call.
+	farFactor  = 2
+	nearStrain = 3
 )
 
 // Named is a policy under the name that settings use.
@@ -64,9 +67,10 @@
 // stays in its own domain until the upstreams there are clearly more loaded.
 func NearFirst() Weighted {
 	policy := DefaultWeighted()
-	policy.Choices = manyChoices
+	policy.Choices = fewChoices
+	policy.NearChoices = manyChoices
 	policy.FarFactor = farFactor
-	policy.StrainFactor = fullFactor
+	policy.StrainFactor = nearStrain
 	return policy
 }
 
--- a/core/query/route/route_test.go
+++ b/core/query/route/route_test.go
@@ -83,6 +83,39 @@
 	}
 }
 
+// TestNearFirst checks when the policy that stays near goes to another failure domain.
+func TestNearFirst(t *testing.T) {
+	near := func(name model.UpstreamName, report model.GateReport) route.Candidate {
+		return route.Candidate{Near: true, Warmth: 1, Upstream: model.Upstream{Name: name}, Report: report, ReportAt: modelStart}
+	}
+	far := func(name model.UpstreamName, report model.GateReport) route.Candidate {
+		candidate := near(name, report)
+		candidate.Near = false
+		return candidate
+	}
+	atEase := model.GateReport{InFlight: 5, Slots: 11, ServiceUs: 100_000, PacePercent: 100}
+	idle := model.GateReport{Slots: 11, ServiceUs: 80_000, PacePercent: 100}
+	slow := model.GateReport{Slots: 11, ServiceUs: 100_000, PacePercent: 400}
+	tests := []struct {
+		name       string
+		candidates []route.Candidate
+		want       model.UpstreamName
+	}{
+		{name: "near, though others are idle", candidates: []route.Candidate{far("a", idle), far("b", idle), far("c", idle), near("n", atEase)}, want: "n"},
+		{name: "another near one", candidates: []route.Candidate{far("a", idle), near("n", slow), near("m", atEase)}, want: "m"},
+		{name: "far, when the near one is slow", candidates: []route.Candidate{far("a", idle), near("n", slow)}, want: "a"},
+		{name: "none is near", candidates: []route.Candidate{far("a", idle)}, want: "a"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			policy := route.NearFirst()
+			policy.ExploreOneIn = 0
+			got, _ := route.New(policy).Pick(modelStart, func(int) int { return 0 }, test.candidates)
+			qt.Assert(t, got.Upstream.Name, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestSlowServerTarget holds each policy to the target: with one of five servers 10 times slower, p99
 // is at most 1.5 times p99 with none slow. The baselines that must fail show that the test can.
 func TestSlowServerTarget(t *testing.T) {
--- a/core/query/route/weighted.go
+++ b/core/query/route/weighted.go
@@ -14,6 +14,9 @@
 type Weighted struct {
 	// Choices is how many random candidates are compared; at least 1.
 	Choices int
+	// NearChoices is how many of the own failure domain are compared besides, and then Choices counts those of
+	// the others. Zero draws from all alike.
+	NearChoices int
 	// ReportLifetime is the age at which a gate's report counts for nothing.
 	ReportLifetime time.Duration
 	// ServiceLifetime is the age at which a gate's reported service time counts for nothing; it changes
@@ -50,9 +53,22 @@
 	if p.ExploreOneIn > 0 && random(p.ExploreOneIn) == 0 {
 		return leastKnown(candidates)
 	}
+	near := 0
+	if p.NearChoices > 0 {
+		near = moveNearFirst(candidates)
+	}
+	nearest, nearCost := p.cheapest(now, random, candidates[:near], p.NearChoices)
+	farther, farCost := p.cheapest(now, random, candidates[near:], p.Choices)
+	if farCost < nearCost {
+		return near + farther
+	}
+	return nearest
+}
+
+// cheapest returns the best of a few random candidates and its cost, which is infinite when there are none.
+func (p Weighted) cheapest(now time.Time, random Random, candidates []Candidate, choices int) (int, float64) {
 	best, bestCost := 0, math.Inf(1)
-	choices := min(p.Choices, len(candidates))
-	for i := range choices {
+	for i := range min(choices, len(candidates)) {
 		// Moves each drawn candidate to the front, so that none is drawn twice.
 		drawn := i + random(len(candidates)-i)
 		candidates[i], candidates[drawn] = candidates[drawn], candidates[i]
@@ -60,7 +76,21 @@
 			best, bestCost = i, cost
 		}
 	}
-	return best
+	return best, bestCost
+}
+
+// moveNearFirst puts the candidates of the own failure domain first and returns how many there are.
+//
+//	[far near far near] -> [near near far far], 2
+func moveNearFirst(candidates []Candidate) int {
+	near := 0
+	for i := range candidates {
+		if candidates[i].Near {
+			candidates[i], candidates[near] = candidates[near], candidates[i]
+			near++
+		}
+	}
+	return near
 }
 
 // leastKnown returns the candidate whose newest answer is the oldest.
--- a/core/query/subset/subset.go
+++ b/core/query/subset/subset.go
@@ -48,6 +48,24 @@
 	return members
 }
 
+// Near returns a subset for the daemon beside self of which up to half are upstreams of its own failure domain, since
+// calls to others take longer and their bytes cost more.
+func Near(self model.Upstream, upstreams []model.Upstream, size int) []model.Upstream {
+	if len(upstreams) <= size {
+		return Of(self.Name, upstreams, size)
+	}
+	var near, far []model.Upstream
+	for _, upstream := range upstreams {
+		if upstream.FailureDomain == self.FailureDomain {
+			near = append(near, upstream)
+		} else {
+			far = append(far, upstream)
+		}
+	}
+	nearSize := min(len(near), max(size/2, size-len(far)))
+	return slices.Concat(Of(self.Name, near, nearSize), Of(self.Name, far, size-nearSize))
+}
+
 // number sets the rounds of upstreams that are ordered by score.
 func number(order []ranked) {
 	rounds := map[model.FailureDomain]int{}
--- a/core/query/subset/subset_test.go
+++ b/core/query/subset/subset_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	mapset "github.com/deckarep/golang-set/v2"
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"comfreytack/core/model"
@@ -74,6 +75,44 @@
 	})
 }
 
+// TestNear checks how many upstreams of the own failure domain are in a subset.
+func TestNear(t *testing.T) {
+	tests := []struct {
+		name string
+		// size bounds the subset of a fleet with perDomain upstreams in each failure domain.
+		size, perDomain int
+		domain          model.FailureDomain
+		near, all       int
+	}{
+		{name: "all of a small fleet", size: 20, perDomain: 2, domain: "domain-1", near: 2, all: 8},
+		{name: "all near ones if they are few", size: 20, perDomain: 8, domain: "domain-1", near: 8, all: 20},
+		{name: "half at most", size: 20, perDomain: 50, domain: "domain-1", near: 10, all: 20},
+		{name: "none is near", size: 20, perDomain: 8, domain: "elsewhere", near: 0, all: 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			self := model.Upstream{Name: "daemon-1", FailureDomain: test.domain}
+			chosen := subset.Near(self, fleet(domains*test.perDomain), test.size)
+			near := 0
+			for _, upstream := range chosen {
+				if upstream.FailureDomain == test.domain {
+					near++
+				}
+			}
+			qt.Assert(t, near, qt.Equals, test.near)
+			qt.Assert(t, names(chosen).Cardinality(), qt.Equals, test.all)
+		})
+	}
+	t.Run("all in one failure domain", func(t *testing.T) {
+		all := fleet(100)
+		for i := range all {
+			all[i].FailureDomain = "only"
+		}
+		chosen := subset.Near(model.Upstream{Name: "daemon-1", FailureDomain: "only"}, all, 20)
+		qt.Assert(t, names(chosen).Cardinality(), qt.Equals, 20)
+	})
+}
+
 // TestSubsetsSpread checks that the daemons of a large fleet share its upstreams out evenly.
 func TestSubsetsSpread(t *testing.T) {
 	const daemons, upstreams, size = 500, 500, 20
