Hand out four fifths of the slots, and queue with a margin

Cause: servers of all sites take 1.7 times as long when over four fifths of their slots are in use, so 11 at work get less done than 8. The queue let in what would just be in time at the mean of its work, so half of it was not, and tickets that could not be in time any more were kept, and started late, or held to their deadline.

Change: hold.Settings.UsableShare, 0.8 on the platform and 1 on the project's own interface; a ticket waits only if it is likely to be in time (mean and one deviation of its work); when a slot is free, tickets that are overdue are refused while others wait that are in time.

--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -165,9 +165,10 @@
 			Recheck: downRecheck,
 		}),
 	}, hold.New(hold.Settings{
-		Snapshot: p.control.Snapshot,
-		Now:      time.Now,
-		Classes:  kinds.New(p.control.Snapshot, class.New(learntClasses)),
+		Snapshot:    p.control.Snapshot,
+		Now:         time.Now,
+		UsableShare: p.front.UsableShare,
+		Classes:     kinds.New(p.control.Snapshot, class.New(learntClasses)),
 	}, admit.New(firstSlots, discipline), adapt.New(1, firstSlots, limiter)))
 	sending, err := buildSend(p)
 	if err != nil {
--- a/cftd/start/front.go
+++ b/cftd/start/front.go
@@ -41,6 +41,8 @@
 	Defaults Options
 	// Retries bounds the retries of this daemon's calls.
 	Retries budget.Settings
+	// UsableShare is the share of the published slots that the gate hands out, above 0 and at most 1.
+	UsableShare float64
 	// Issues says that callers may fetch idempotency keys.
 	Issues bool
 	// Probes says that the upstream is asked by timer whether it drains.
@@ -58,6 +60,9 @@
 	},
 	Defaults: Options{Policy: "weighted_choices", Limiter: "fixed", Discipline: "fair"},
 	Retries:  budget.DefaultSettings(),
-	Issues:   true,
-	Probes:   true,
+
+	UsableShare: 1,
+
+	Issues: true,
+	Probes: true,
 }
--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -80,6 +80,8 @@
 	// Pop takes the next ticket for which may returns true. The answer of may depends on the tier and
 	// the class of a ticket alone.
 	Pop(may func(Ticket) bool) (Ticket, bool)
+	// Overdue takes out a waiting ticket that had better be refused now than kept, or returns false.
+	Overdue() (Ticket, bool)
 	// Remove takes out one ticket and says whether it was there.
 	Remove(id uint64) bool
 	// Started tells that a ticket, popped or not, takes a slot for about the given time.
--- a/core/command/admit/estimate.go
+++ b/core/command/admit/estimate.go
@@ -34,6 +34,11 @@
 // average returns the mean; zero before the first sample.
 func (e *estimate) average() time.Duration { return time.Duration(e.mean) }
 
+// likely returns a service time that more than half of the tickets stay below.
+func (e *estimate) likely() time.Duration {
+	return time.Duration(e.mean + e.deviation)
+}
+
 // cautious returns a service time that most tickets stay below.
 func (e *estimate) cautious() time.Duration {
 	return time.Duration(e.mean + cautionDeviations*e.deviation)
--- a/core/command/admit/fair.go
+++ b/core/command/admit/fair.go
@@ -80,6 +80,9 @@
 	return [classes]model.Class{model.Short, model.Long}
 }
 
+// Overdue returns none: customers' shares know no targets.
+func (f *Fair) Overdue() (Ticket, bool) { return Ticket{}, false }
+
 // Remove takes out one ticket. Its time grows with the customer's queue bound.
 func (f *Fair) Remove(id uint64) bool {
 	owner, found := f.waiting[id]
--- a/core/command/admit/fifo.go
+++ b/core/command/admit/fifo.go
@@ -33,6 +33,9 @@
 	return f.take(i), true
 }
 
+// Overdue returns none: arrival order knows no targets.
+func (f *FIFO) Overdue() (Ticket, bool) { return Ticket{}, false }
+
 // Remove takes out one ticket.
 func (f *FIFO) Remove(id uint64) bool {
 	i := slices.IndexFunc(f.waiting, func(t Ticket) bool { return t.ID == id })
--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -6,7 +6,6 @@
 	"comfreytack/core/cache"
 	"comfreytack/core/heap"
 	"comfreytack/core/model"
-	"comfreytack/core/query/pace"
 )
 
 // Gate hands out the slots of one upstream.
@@ -92,12 +91,12 @@
 	}
 	expected := g.expected(ticket)
 	ticket.Work = expected.average()
-	if g.nearlyFull(ticket) {
-		return refusal(ticket, model.NearlyFull, 0)
-	}
 	if g.may(ticket) {
 		return g.start(now, ticket)
 	}
+	if !ticket.Target.IsZero() && !ticket.Insist {
+		return refusal(ticket, model.NearlyFull, 0)
+	}
 	wait := g.wait(ticket, limits)
 	if g.discipline.Waiting(ticket) >= limits.Queue {
 		return refusal(ticket, model.QueueFull, wait)
@@ -197,8 +196,22 @@
 	return g.times[model.Short].average()
 }
 
-// fill starts waiting tickets while slots are free, and refuses those that come up too late to finish.
+// fill starts waiting tickets while slots are free, and refuses those that come up too late to finish and those
+// that only keep others waiting.
 func (g *Gate[D]) fill(now time.Time) []Decision {
+	decisions := g.startWaiting(now)
+	for {
+		ticket, found := g.discipline.Overdue()
+		if !found {
+			return decisions
+		}
+		g.dequeued(ticket.ID)
+		decisions = append(decisions, refusal(ticket, model.TooLate, 0))
+	}
+}
+
+// startWaiting starts waiting tickets while slots are free.
+func (g *Gate[D]) startWaiting(now time.Time) []Decision {
 	var decisions []Decision
 	for len(g.running) < g.Slots {
 		ticket, found := g.discipline.Pop(g.may)
@@ -289,19 +302,17 @@
 	}
 }
 
-// nearlyFull tells whether another upstream had better take the ticket.
-func (g *Gate[D]) nearlyFull(ticket Ticket) bool {
-	return !ticket.Target.IsZero() && !ticket.Insist && len(g.running) >= max(1, int(pace.EasyShare*float64(g.Slots)))
-}
-
-// spare returns how much earlier than needed a ticket that waits now is expected to end. One with a target
+// spare returns how much earlier than needed a ticket that waits now is likely to end. One with a target
 // is held to that: a queue in which answers lose their worth serves nobody better than a refusal at once.
 func (g *Gate[D]) spare(now time.Time, ticket Ticket, wait time.Duration) time.Duration {
 	expected := g.expected(ticket)
 	if ticket.Target.IsZero() {
 		return ticket.Deadline.Sub(now) - wait - expected.cautious()
 	}
-	return ticket.target().Sub(now) - wait - expected.average()
+	if ticket.Nested {
+		return ticket.Deadline.Sub(now) - wait - expected.average()
+	}
+	return ticket.Target.Sub(now) - wait - expected.likely()
 }
 
 // Work returns the mean service time to expect of a ticket; zero before the first was measured.
--- a/core/command/admit/ranked.go
+++ b/core/command/admit/ranked.go
@@ -63,6 +63,24 @@
 	return t.target().Before(now.Add(t.Work))
 }
 
+// Overdue takes out a ticket that can no longer be answered within its target, while others wait that can: it would
+// be held for nothing.
+func (r *Ranked) Overdue() (Ticket, bool) {
+	now := r.now()
+	overdue, inTime := -1, false
+	for i := range r.waiting {
+		if late(now, &r.waiting[i]) {
+			overdue = i
+		} else {
+			inTime = true
+		}
+	}
+	if overdue < 0 || !inTime {
+		return Ticket{}, false
+	}
+	return r.take(overdue), true
+}
+
 // Remove takes out one ticket.
 func (r *Ranked) Remove(id uint64) bool {
 	for i := range r.waiting {
--- a/core/query/pace/pace.go
+++ b/core/query/pace/pace.go
@@ -20,9 +20,6 @@
 const (
 	// Usual is the pace of an upstream that nothing slows, in percent of the usual work time.
 	Usual = 100
-	// EasyShare is the share of its slots up to which an upstream works at its usual speed; many slow down when
-	// they are nearly full.
-	EasyShare = 0.8
 	// slowFrom is the pace, in percent, from which work is better started later or elsewhere. A server that has
 	// just started takes about twice as long for seconds: there is nothing to wait for.
 	slowFrom = 250
--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -39,15 +39,20 @@
 }
 
 // Strained tells whether the candidate's gate reported lately that it would rather not take a call: its
-// upstream is nearly full or slowed by its neighbours.
+// upstream has no free slot or is slowed by its neighbours.
 func (c *Candidate) Strained(now time.Time) bool {
 	if c.ReportAt.IsZero() || now.Sub(c.ReportAt) >= pace.Lifetime {
 		return false
 	}
-	full := float64(c.Report.InFlight) >= pace.EasyShare*float64(c.Report.Slots)
+	full := c.Report.InFlight >= c.Report.Slots
 	return full || pace.Reading{Percent: c.Report.PacePercent, At: c.ReportAt}.Slow(now)
 }
 
+// AtEase takes the candidates that are strained out of the slice, in place.
+func AtEase(now time.Time, candidates []Candidate) []Candidate {
+	return slices.DeleteFunc(candidates, func(c Candidate) bool { return c.Strained(now) })
+}
+
 // LeastStrained returns the candidate that is expected to answer first when all are strained, or false when there
 // is none: one that can start the call at once before one where it waits, whatever the spell costs there.
 //
@@ -63,24 +68,17 @@
 }
 
 // waitCost is what a wait for a slot counts, in usual work times, before the wait for those ahead.
-const waitCost = 2
+const waitCost = 2.5
 
 // strain is the expected time of a call in usual work times, as far as the last report tells.
 func (c *Candidate) strain(now time.Time) float64 {
 	cost := paceOf(now, c)
-	slots := float64(max(1, c.Report.Slots))
-	if float64(c.Report.InFlight) >= pace.EasyShare*slots {
-		cost *= fullFactor
-	}
 	if c.Report.InFlight >= c.Report.Slots {
-		cost += waitCost + float64(c.Report.Queued)/slots
+		cost += waitCost + float64(c.Report.Queued)/float64(max(1, c.Report.Slots))
 	}
 	return cost
 }
 
-// fullFactor is how much longer work takes on upstreams that slow down when they are nearly full.
-const fullFactor = 1.7
-
 // Random returns a number from 0 to n-1.
 type Random func(n int) int
 
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -21,6 +21,9 @@
 	Snapshot func() *model.Snapshot
 	// Now reads the clock, with its monotonic part.
 	Now func() time.Time
+	// UsableShare is the share of the published slots that are handed out: many upstreams get less done when they are
+	// nearly full. Above 0 and at most 1.
+	UsableShare float64
 	// Classes learns which unnamed routes are long.
 	Classes *kinds.Book
 }
@@ -258,7 +261,7 @@
 		return
 	}
 	g.applied = snapshot.Revision
-	slots := max(1, snapshot.Slots)
+	slots := max(1, int(g.settings.UsableShare*float64(snapshot.Slots)))
 	g.wake(g.gate.SetLimits(now, slots, snapshot.Limits))
 	g.limiter.SetMost(slots)
 	g.resize(now, g.limiter.Slots())
