Let daemons that start together speak one after the other

Change: a daemon counts as starting for 150 ms longer for each that reads before it. The first one speaks, and the others have heard of it before their turn.

TestStartOfAFleet fails without it.

--- a/core/command/daemon/listed_test.go
+++ b/core/command/daemon/listed_test.go
@@ -271,3 +271,35 @@
 	l.read(published("document", fmt.Sprintf(listedDocument, 1)), instance("i-2", 2, 10, 1, model.Live))
 	qt.Assert(t, l.state.Snapshot(l.now).Ready, qt.IsTrue)
 }
+
+// TestStartOfAFleet checks from when on daemons that have started together tell others of their reads: the one that
+// reads first before the rest, which then hear of it and stay silent.
+func TestStartOfAFleet(t *testing.T) {
+	tests := []struct {
+		name string
+		// others are the hosts of the other daemons, of which better ones read before this one.
+		others []int
+		after  time.Duration
+		tells  bool
+	}{
+		{name: "just started", others: []int{4}, after: 1900 * time.Millisecond},
+		{name: "nobody reads before it", others: []int{4}, after: 2 * time.Second, tells: true},
+		{name: "some read before it", others: []int{2, 3, 4, 5, 6, 7, 8, 9}, after: 2 * time.Second},
+		{name: "they are silent", others: []int{2, 3, 4, 5, 6, 7, 8, 9}, after: 4 * time.Second, tells: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := newListing(t)
+			changes := []model.Change{instance("i-1", 1, 10, 1, model.Live)}
+			for _, host := range test.others {
+				changes = append(changes, instance(model.InstanceID(fmt.Sprintf("i-%d", host)), host, 10, 1, model.Live))
+			}
+			l.read(changes...)
+			for range test.after / (50 * time.Millisecond) {
+				l.pass(50 * time.Millisecond)
+			}
+			told := l.reads(published("document", fmt.Sprintf(listedDocument, 2)))
+			qt.Assert(t, len(told) > 0, qt.Equals, test.tells)
+		})
+	}
+}
--- a/core/command/daemon/reads.go
+++ b/core/command/daemon/reads.go
@@ -18,8 +18,10 @@
 	maxPushBytes = 16 << 10
 	// ownReadTime is how long a daemon that lacks changes waits for its own read before it asks a peer as well.
 	ownReadTime = 700 * time.Millisecond
-	// startingFor is how long a daemon counts as having just started.
-	startingFor = 2 * time.Second
+	// startingFor is how long a daemon counts as having just started, and startingStep how much longer for each that
+	// reads before it: in a fleet that starts as a whole, the first one speaks before the others would.
+	startingFor  = 2 * time.Second
+	startingStep = 150 * time.Millisecond
 	// MostTold is the largest fleet in which a daemon tells all others of its reads. In a larger one it tells its
 	// sample, and more daemons read.
 	MostTold = 256
@@ -61,7 +63,7 @@
 // starting tells whether the daemon has just started. Then its own reads tell it all, and others that start with
 // it need not be told of every upstream that registers.
 func (s *State) starting(now time.Time) bool {
-	return now.Sub(s.Start.At) < startingFor
+	return now.Sub(s.Start.At) < startingFor+time.Duration(s.readRank(now))*startingStep
 }
 
 // lacks tells whether a peer has told of changes that this daemon does not have.
