Ask no strained gate behind the least strained one, and say when to come back

Cause: at a crest a refused call had been at four gates on average: three that would rather not take it, the least strained of them again, and then others that were as full. And a gate's word when to come back was lost between daemons, so most callers got none.

Change: behind a refusal by the least strained gate only upstreams at ease are tried, and the failure is that gate's. The time goes along between daemons in milliseconds. A ticket with a target is told when the next slot is likely free.

--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -103,7 +103,7 @@
 	}
 	spare := g.spare(now, ticket, wait)
 	if spare < 0 {
-		return refusal(ticket, model.TooLate, -spare)
+		return refusal(ticket, model.TooLate, g.comeBack(ticket, -spare))
 	}
 	g.discipline.Push(ticket, limits)
 	g.enqueued(ticket)
@@ -206,7 +206,7 @@
 			return decisions
 		}
 		g.dequeued(ticket.ID)
-		decisions = append(decisions, refusal(ticket, model.TooLate, 0))
+		decisions = append(decisions, refusal(ticket, model.TooLate, g.comeBack(ticket, 0)))
 	}
 }
 
@@ -315,6 +315,16 @@
 	return ticket.Target.Sub(now) - wait - expected.likely()
 }
 
+// comeBack returns how long a refused caller had better wait, where its ticket lacked the given time. One that has a
+// target is told when the next slot is likely to be free: what waits now will have ended or gone elsewhere before the
+// target, and at that moment there may be room.
+func (g *Gate[D]) comeBack(ticket Ticket, lacked time.Duration) time.Duration {
+	if ticket.Target.IsZero() {
+		return lacked
+	}
+	return g.times[ticket.Class].average() / g.turning(ticket.Class)
+}
+
 // Work returns the mean service time to expect of a ticket; zero before the first was measured.
 func (g *Gate[D]) Work(ticket Ticket) time.Duration {
 	expected := g.expected(ticket)
--- a/core/command/admit/ranked_test.go
+++ b/core/command/admit/ranked_test.go
@@ -97,6 +97,10 @@
 			got := gate.Arrive(rankedNow, test.ticket)
 			qt.Assert(t, got.Action, qt.Equals, test.want)
 			qt.Assert(t, got.Reason, qt.Equals, test.reason)
+			if test.reason == model.TooLate {
+				// The one run so far took 50 ms, and there are ten slots.
+				qt.Assert(t, got.RetryAfter, qt.Equals, 5*ms)
+			}
 		})
 	}
 }
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -63,10 +63,11 @@
 	state := retry.State{Deadline: call.Deadline, Idempotent: call.Idempotent, MostReached: call.Attempts}
 	s.settings.Retries.Sent(s.settings.Now(), purse(call), s.settings.Snapshot().Limits[call.Customer].RetryPercent)
 	tries := tries{tried: make([]model.UpstreamName, 0, retry.MaxAttempts)}
+	last := &model.Failure{Verdict: model.NotRun, Reason: model.NoUpstream, Spent: true}
 	for {
 		upstream, found := s.choose(&tries, &call)
 		if !found {
-			return none, &model.Failure{Verdict: model.NotRun, Reason: model.NoUpstream, Spent: true}
+			return none, last
 		}
 		answer, failure := attempt(ctx, s, call, upstream, carrier)
 		if failure == nil {
@@ -82,6 +83,7 @@
 		if decision := s.next(state, call, failure); decision.Action == retry.GiveUp {
 			return none, decision.Failure
 		}
+		last = retry.GivenUp(failure)
 	}
 }
 
@@ -115,6 +117,11 @@
 	// The order of candidates changes below; those that were passed over are kept apart before.
 	strained := route.Only(all, t.strained)
 	untried := route.Without(all, t.tried)
+	if call.Insist {
+		// The least strained one has refused; the others that are strained would too.
+		untried = route.AtEase(now, untried)
+		t.strained = nil
+	}
 	chosen, _ := s.picker.Pick(now, rand.IntN, untried)
 	t.others = len(untried) - 1
 	switch {
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -32,6 +32,8 @@
 	HeaderReport = "Comfreytack-Report"
 	HeaderSpent  = "Comfreytack-Spent"
 	HeaderAsk    = "Comfreytack-Ask"
+	// HeaderWaitMs is how long a refused caller had better wait, in ms; Retry-After has whole seconds.
+	HeaderWaitMs = "Comfreytack-Wait-Ms"
 	ownPrefix    = "Comfreytack-"
 )
 
@@ -125,6 +127,7 @@
 	if failure.RetryAfter > 0 {
 		seconds := int64((failure.RetryAfter + time.Second - 1) / time.Second)
 		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+		header.Set(HeaderWaitMs, strconv.FormatInt(failure.RetryAfter.Milliseconds(), 10))
 	}
 }
 
@@ -144,6 +147,8 @@
 		return nil
 	}
 	failure.Spent = header.Get(HeaderSpent) == "1"
+	// A time that cannot be read counts as none: the refusal holds without it.
+	failure.RetryAfter, _ = takeMilliseconds(header, HeaderWaitMs)
 	return failure
 }
 
--- a/core/wire/status_test.go
+++ b/core/wire/status_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -11,6 +13,25 @@
 	"comfreytack/core/wire"
 )
 
+// TestFailureKeepsItsFields checks what a failure says behind the way between two daemons.
+func TestFailureKeepsItsFields(t *testing.T) {
+	tests := []struct {
+		name    string
+		failure model.Failure
+	}{
+		{name: "plain", failure: model.Failure{Verdict: model.MayHaveRun, Reason: model.UpstreamDied}},
+		{name: "spent", failure: model.Failure{Verdict: model.NotRun, Reason: model.QueueFull, Spent: true}},
+		{name: "when to come back", failure: model.Failure{Verdict: model.NotRun, Reason: model.TooLate, RetryAfter: 70 * time.Millisecond}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			header := http.Header{}
+			wire.PutFailure(header, &test.failure)
+			qt.Assert(t, *wire.TakeFailure(header), qt.Equals, test.failure)
+		})
+	}
+}
+
 // TestOwnStatusesAreNoShedStatus ties the two lists of the daemons' own statuses: a service whose upstreams refuse
 // with one of them would have answers that were passed on taken for refusals before any work.
 func TestOwnStatusesAreNoShedStatus(t *testing.T) {
