Notice that the machine was suspended

Cause: Go's steady clock stands still while a machine is suspended, so a daemon that wakes took its knowledge, its lease and its queue for as fresh as before.

Change: cftd/clock compares CLOCK_BOOTTIME with the steady clock. A suspension counts as a pause of the control goroutine: the daemon doubts itself until a peer or the platform has told it more, and the lease's times age by it. A gate checks again before it starts queued work. loop.Machine.Beat is told how long the machine slept in place of the gap, which nobody read.

Deadlines of requests on their way are not corrected.

--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"comfreytack/cftd/asks"
+	"comfreytack/cftd/clock"
 	"comfreytack/cftd/entry"
 	"comfreytack/cftd/gate"
 	"comfreytack/cftd/health"
@@ -79,6 +80,8 @@
 	log      *slog.Logger
 	self     model.Upstream
 	plane    *controlPlane
+	// slept returns how long the machine was suspended since the start.
+	slept func() time.Duration
 	// crashes is shared by the gate, which writes to it, and the control goroutine, which passes it on.
 	crashes *poison.Book
 	control *loop.Loop[daemon.Event, daemon.Effect]
@@ -92,7 +95,8 @@
 func build[D talk.Dialect](front Front[D], settings setup.Settings, options Options, log *slog.Logger) (*parts, error) {
 	self := selfOf(settings, time.Now())
 	crashes := poison.New(poison.DefaultSettings())
-	plane := newControl(front, settings, self, crashes, log)
+	slept := clock.New().Slept
+	plane := newControl(front, settings, self, crashes, slept, log)
 	p := plan[D]{
 		front:    front,
 		settings: settings,
@@ -100,6 +104,7 @@
 		log:      log,
 		self:     self,
 		plane:    plane,
+		slept:    slept,
 		crashes:  crashes,
 		control:  plane.loop,
 		meter:    meter.New(),
@@ -167,6 +172,7 @@
 	}, hold.New(hold.Settings{
 		Snapshot:    p.control.Snapshot,
 		Now:         time.Now,
+		Slept:       p.slept,
 		UsableShare: p.front.UsableShare,
 		Classes:     kinds.New(p.control.Snapshot, class.New(learntClasses)),
 	}, admit.New(firstSlots, discipline), adapt.New(1, firstSlots, limiter)))
--- a/cftd/start/control.go
+++ b/cftd/start/control.go
@@ -32,7 +32,9 @@
 	ctx     context.Context
 }
 
-func newControl[D talk.Dialect](front Front[D], settings setup.Settings, self model.Upstream, crashes *poison.Book, log *slog.Logger) *controlPlane {
+func newControl[D talk.Dialect](
+	front Front[D], settings setup.Settings, self model.Upstream, crashes *poison.Book, slept func() time.Duration, log *slog.Logger,
+) *controlPlane {
 	c := &controlPlane{}
 	state := daemon.New(daemon.Settings{
 		Self:   self,
@@ -43,7 +45,7 @@
 
 		Leased: front.Leased,
 	}, time.Now())
-	c.loop = loop.New(loop.Settings{Beat: beatInterval, Backlog: eventBacklog, Now: time.Now, Changed: tellBeliefs(log)}, state, c.perform)
+	c.loop = loop.New(loop.Settings{Beat: beatInterval, Backlog: eventBacklog, Now: time.Now, Slept: slept, Changed: tellBeliefs(log)}, state, c.perform)
 	c.network = peers.New(peers.Settings{Post: c.loop.Post, Log: log})
 	c.reads = front.Reads(ReadSettings{Settings: settings, Post: c.loop.Post, Log: log})
 	if front.Probes {
--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -119,7 +119,7 @@
 
 // Apply implements loop.Machine.
 func (s *State) Apply(now time.Time, event Event) []Effect {
-	effects := s.ran(now)
+	effects := s.ran(now, 0)
 	switch e := event.(type) {
 	case ChangesRead:
 		effects = append(effects, s.changesRead(now, e)...)
@@ -144,10 +144,9 @@
 	return append(effects, s.announce(now)...)
 }
 
-// Beat implements loop.Machine. It relies on SeenAt instead of the gap, because an event may be the
-// first to run after a pause.
-func (s *State) Beat(now time.Time, _ time.Duration) []Effect {
-	effects := s.ran(now)
+// Beat implements loop.Machine.
+func (s *State) Beat(now time.Time, slept time.Duration) []Effect {
+	effects := s.ran(now, slept)
 	s.Start.judge(now, s.Config.Complete)
 	if s.Lapses.expired(now) {
 		s.rebuild()
@@ -176,8 +175,9 @@
 }
 
 // ran notes that the control goroutine runs. After a pause it asks peers at once what happened meanwhile.
-func (s *State) ran(now time.Time) []Effect {
-	if !s.Pause.Ran(now) {
+func (s *State) ran(now time.Time, slept time.Duration) []Effect {
+	s.Lease.Slept(slept)
+	if !s.Pause.Ran(now, slept) {
 		return nil
 	}
 	s.Start.AskAt = now
--- a/core/command/lease/lease.go
+++ b/core/command/lease/lease.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// Slept ages all that is known by a suspension of the machine, which its clock did not count.
+func (s *State) Slept(d time.Duration) {
+	for _, at := range []*time.Time{&s.FreshAt, &s.BetterAt, &s.OwnAt} {
+		if !at.IsZero() {
+			*at = at.Add(-d)
+		}
+	}
+}
+
 // Returned tells whether knowledge of the given moment ends an outage of the platform: nothing fresh was
 // known for long.
 func (s *State) Returned(at time.Time) bool {
--- a/core/command/pause/pause.go
+++ b/core/command/pause/pause.go
@@ -31,9 +31,10 @@
 	return &State{SeenAt: now, Nonce: 1}
 }
 
-// Ran takes a sign of life of the control goroutine and tells whether a pause has just ended.
-func (s *State) Ran(now time.Time) bool {
-	gap := now.Sub(s.SeenAt)
+// Ran takes a sign of life of the control goroutine and tells whether a pause has just ended. The machine was suspended
+// for slept since the last one, which the times do not count.
+func (s *State) Ran(now time.Time, slept time.Duration) bool {
+	gap := now.Sub(s.SeenAt) + slept
 	s.SeenAt = now
 	if gap > fresh.LongestGap {
 		s.Suspect = true
--- a/core/loop/loop.go
+++ b/core/loop/loop.go
@@ -16,8 +16,8 @@
 type Machine[E, F any] interface {
 	// Apply changes the state for one event and returns what the daemon has to do outside.
 	Apply(now time.Time, event E) []F
-	// Beat is called at each beat of the loop, after the gap since the last one.
-	Beat(now time.Time, gap time.Duration) []F
+	// Beat is called at each beat of the loop. The machine was suspended for slept since the last one.
+	Beat(now time.Time, slept time.Duration) []F
 	// Snapshot returns an immutable view of the state.
 	Snapshot(now time.Time) *model.Snapshot
 }
@@ -30,6 +30,8 @@
 	Backlog int
 	// Now reads the clock, with its monotonic part.
 	Now func() time.Time
+	// Slept returns how long the machine was suspended since the start, which Now does not count; nil means never.
+	Slept func() time.Duration
 	// Changed is told of each snapshot that replaces another, by the control goroutine; nil tells nobody. It
 	// does not block.
 	Changed func(before, after *model.Snapshot)
@@ -53,10 +55,24 @@
 		perform:  perform,
 		events:   make(chan E, settings.Backlog),
 	}
-	l.current.Store(machine.Snapshot(settings.Now()))
+	l.current.Store(l.view())
 	return l
 }
 
+// view returns a new snapshot of the machine.
+func (l *Loop[E, F]) view() *model.Snapshot {
+	view := l.machine.Snapshot(l.settings.Now())
+	view.Slept = l.slept()
+	return view
+}
+
+func (l *Loop[E, F]) slept() time.Duration {
+	if l.settings.Slept == nil {
+		return 0
+	}
+	return l.settings.Slept()
+}
+
 // Snapshot returns the newest published snapshot. Callers must not change it.
 func (l *Loop[E, F]) Snapshot() *model.Snapshot {
 	return l.current.Load()
@@ -83,7 +99,7 @@
 func (l *Loop[E, F]) Run(ctx context.Context) {
 	beat := time.NewTicker(l.settings.Beat)
 	defer beat.Stop()
-	last := l.settings.Now()
+	last := l.slept()
 	for {
 		select {
 		case <-ctx.Done():
@@ -91,9 +107,9 @@
 		case event := <-l.events:
 			l.publish(l.machine.Apply(l.settings.Now(), event))
 		case <-beat.C:
-			now := l.settings.Now()
-			effects := l.machine.Beat(now, now.Sub(last))
-			last = now
+			slept := l.slept()
+			effects := l.machine.Beat(l.settings.Now(), slept-last)
+			last = slept
 			l.publish(effects)
 		}
 	}
@@ -101,7 +117,7 @@
 
 // publish makes the state visible before its effects, so that an answer to an effect finds it.
 func (l *Loop[E, F]) publish(effects []F) {
-	after := l.machine.Snapshot(l.settings.Now())
+	after := l.view()
 	before := l.current.Swap(after)
 	if l.settings.Changed != nil {
 		l.settings.Changed(before, after)
--- a/core/model/snapshot.go
+++ b/core/model/snapshot.go
@@ -41,6 +41,8 @@
 	Stopping bool
 	// BeatAt is when the control goroutine published this snapshot; an old one shows a pause.
 	BeatAt time.Time
+	// Slept is how long the machine had been suspended by then since the daemon's start; BeatAt does not count it.
+	Slept time.Duration
 }
 
 // Limits are what one gate grants one customer. They follow from the contracts alone.
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -21,6 +21,8 @@
 	Snapshot func() *model.Snapshot
 	// Now reads the clock, with its monotonic part.
 	Now func() time.Time
+	// Slept returns how long the machine was suspended since the daemon's start, which Now does not count.
+	Slept func() time.Duration
 	// UsableShare is the share of the published slots that are handed out: many upstreams get less done when they are
 	// nearly full. Above 0 and at most 1.
 	UsableShare float64
@@ -184,7 +186,7 @@
 		return &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamLeaving}
 	case replaced(snapshot, call):
 		return &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamReplaced}
-	case fresh.Paused(now, snapshot):
+	case fresh.Paused(now, g.settings.Slept(), snapshot):
 		return &model.Failure{Verdict: model.NotRun, Reason: model.DaemonPaused}
 	}
 	return nil
--- a/core/traffic/hold/hold_test.go
+++ b/core/traffic/hold/hold_test.go
@@ -27,6 +27,8 @@
 	*testing.T
 	gate     *hold.Gate[*admit.Fair, adapt.Fixed]
 	snapshot model.Snapshot
+	// slept is how long the machine was suspended.
+	slept time.Duration
 }
 
 func newDoor(t *testing.T) *door { return newDoorOf(t, 1) }
@@ -46,6 +48,7 @@
 	}}
 	view := func() *model.Snapshot { return &d.snapshot }
 	d.gate = hold.New(hold.Settings{
+		Slept:       func() time.Duration { return d.slept },
 		UsableShare: usableShare,
 		Snapshot:    view,
 		Now:         time.Now,
@@ -221,6 +224,26 @@
 			},
 			want: model.UpstreamLeaving,
 		},
+		{
+			name: "a suspension of the machine is noticed, though its clock stood still",
+			act: func(d *door) model.Reason {
+				slot, _ := d.enter(d.Context())
+				outcome := d.queue(d.Context())
+				d.slept = 10 * time.Second
+				slot.Release(hold.Useful)
+				return <-outcome
+			},
+			want: model.DaemonPaused,
+		},
+		{
+			name: "one from before the last beat is not held against it",
+			act: func(d *door) model.Reason {
+				d.slept, d.snapshot.Slept = 10*time.Second, 10*time.Second
+				_, reason := d.enter(d.Context())
+				return reason
+			},
+			wantInFlight: 1,
+		},
 		{
 			name: "a daemon that suspects itself starts nothing",
 			act: func(d *door) model.Reason {
