Fail links in the soak, and check promises while it runs

Change: cftlab/proxy stands before each gate, each upstream and the platform; five kinds of faults switch it. Answers are compared with the upstreams' run logs once a second. make check plays one seed.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 	go build -o bin/ ./cftd ./cftctl ./cftlab
 	go build -o bin/cftd-platform ./platform
 
-# Formatter, linter, vet, race-enabled tests and golden sessions; seeds are fixed so that every run gives the same verdict.
+# Formatter, linter, vet, race-enabled tests, golden sessions and a short soak; seeds are fixed so that every run gives
+# the same verdict.
 check: build
 	@unformatted=$$(gofmt -s -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "run gofmt -s -w on:"; echo "$$unformatted"; exit 1; fi
 	@strays=$$(grep -rlE '$(PLATFORM_NAMES)' --include=*.go core cftd cftctl cftlab); if [ -n "$$strays" ]; then echo "names of the platform outside platform/:"; echo "$$strays"; exit 1; fi
@@ -21,6 +22,7 @@
 	go tool staticcheck $(PACKAGES)
 	go tool revive -config tools/revive.toml -set_exit_status $(PACKAGES)
 	go test -race -count=1 -timeout 600s $(PACKAGES)
+	bin/cftlab faults --seconds 6 --seed 1 --count 15 --bin bin
 
 # Starts a whole deployment on loopback, sends a mixed load while upstreams fail, and checks the run logs.
 demo: build
--- a/cftlab/deploy/deploy.go
+++ b/cftlab/deploy/deploy.go
@@ -77,6 +77,8 @@
 	// Platform serves readers and PlatformControl operators of the lab.
 	Platform        model.Address
 	PlatformControl model.Address
+	// PlatformLink is the daemons' way to the platform; empty in a site that is not linked.
+	PlatformLink Link
 	// Keys has the platform's initial documents by key.
 	Keys map[string]any
 	// Places has one entry for each upstream, ordered by service.
@@ -89,6 +91,9 @@
 	Daemon setup.Settings
 	// Control switches the fake upstream.
 	Control model.Address
+	// GateLink is other daemons' way to the gate, and UpstreamLink the daemon's to its upstream; both are empty in a site
+	// that is not linked.
+	GateLink, UpstreamLink Link
 	// Slots and Connections are those of the service.
 	Slots       int
 	Connections int
--- a/cftlab/faults/apply.go
+++ b/cftlab/faults/apply.go
@@ -12,21 +12,28 @@
 	"comfreytack/cftlab/deploy"
 	"comfreytack/cftlab/fleet"
 	"comfreytack/cftlab/plat"
+	"comfreytack/cftlab/proxy"
 	"comfreytack/cftlab/stub"
+	"comfreytack/core/model"
 )
 
 // Applier applies faults to a fleet.
 type Applier struct {
 	fleet  *fleet.Fleet
 	places []deploy.Place
-	tell   func(text string)
+	// platform is where the link to the platform listens.
+	platform model.Address
+	tell     func(text string)
 	// busy has a lock for each place: one process is not killed, paused or started twice at once.
 	busy []sync.Mutex
 }
 
 // New returns an applier that reports each fault to tell.
-func New(running *fleet.Fleet, places []deploy.Place, tell func(text string)) *Applier {
-	return &Applier{fleet: running, places: places, tell: tell, busy: make([]sync.Mutex, len(places))}
+func New(running *fleet.Fleet, site deploy.Site, tell func(text string)) *Applier {
+	return &Applier{
+		fleet: running, places: site.Places, platform: site.PlatformLink.Listen,
+		tell: tell, busy: make([]sync.Mutex, len(site.Places)),
+	}
 }
 
 // Run applies the faults at their times. When ctx ends, all faults that last end at once.
@@ -47,7 +54,7 @@
 }
 
 func (a *Applier) target(fault Fault) string {
-	if fault.Kind >= PlatformDown {
+	if fault.Kind >= PlatformSilent {
 		return "platform"
 	}
 	return string(a.places[fault.Place].Daemon.Name)
@@ -58,6 +65,9 @@
 	switch {
 	case fault.Kind >= PlatformDown:
 		return a.failPlatform(ctx, fault)
+	case fault.Kind >= LinkReset:
+		a.failLink(ctx, fault)
+		return nil
 	case fault.Kind >= KillUpstream:
 		return a.failProcess(ctx, fault)
 	}
@@ -116,6 +126,36 @@
 	return a.fleet.SwitchPlatform(context.WithoutCancel(ctx), change(false))
 }
 
+// linkModes are the modes that link faults switch to. LinkReset switches none.
+var linkModes = map[Kind]proxy.Mode{LinkLate: proxy.Late, LinkOneWay: proxy.OneWay, LinkSilent: proxy.Silent, PlatformSilent: proxy.Silent}
+
+// failLink fails a link for a while. Connections that lost bytes stay dead.
+func (a *Applier) failLink(ctx context.Context, fault Fault) {
+	link := a.fleet.Link(a.linkOf(fault))
+	if link == nil {
+		return
+	}
+	mode, lasts := linkModes[fault.Kind]
+	if !lasts {
+		link.Reset()
+		return
+	}
+	link.Set(mode)
+	sleep(ctx, fault.Span)
+	link.Set(proxy.Pass)
+}
+
+// linkOf returns the link that a fault is about: in turn that of the gate and of the upstream.
+func (a *Applier) linkOf(fault Fault) model.Address {
+	switch {
+	case fault.Kind == PlatformSilent:
+		return a.platform
+	case fault.At.Milliseconds()%2 == 0:
+		return a.places[fault.Place].GateLink.Listen
+	}
+	return a.places[fault.Place].UpstreamLink.Listen
+}
+
 func (a *Applier) failProcess(ctx context.Context, fault Fault) error {
 	if !a.busy[fault.Place].TryLock() {
 		return nil
--- a/cftlab/faults/enums_string.go
+++ b/cftlab/faults/enums_string.go
@@ -20,14 +20,19 @@
 	_ = x[KillDaemon-9]
 	_ = x[StopDaemon-10]
 	_ = x[PauseDaemon-11]
-	_ = x[PlatformDown-12]
-	_ = x[PlatformStale-13]
-	_ = x[PlatformReordered-14]
+	_ = x[LinkReset-12]
+	_ = x[LinkLate-13]
+	_ = x[LinkOneWay-14]
+	_ = x[LinkSilent-15]
+	_ = x[PlatformSilent-16]
+	_ = x[PlatformDown-17]
+	_ = x[PlatformStale-18]
+	_ = x[PlatformReordered-19]
 }
 
-const _Kind_name = "drainslowshedfail_fasttruncatecoldlienoisykill_upstreamkill_daemonstop_daemonpause_daemonplatform_downplatform_staleplatform_reordered"
+const _Kind_name = "drainslowshedfail_fasttruncatecoldlienoisykill_upstreamkill_daemonstop_daemonpause_daemonlink_resetlink_latelink_one_waylink_silentplatform_silentplatform_downplatform_staleplatform_reordered"
 
-var _Kind_index = [...]uint8{0, 5, 9, 13, 22, 30, 34, 37, 42, 55, 66, 77, 89, 102, 116, 134}
+var _Kind_index = [...]uint8{0, 5, 9, 13, 22, 30, 34, 37, 42, 55, 66, 77, 89, 99, 108, 120, 131, 146, 159, 173, 191}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/cftlab/faults/faults.go
+++ b/cftlab/faults/faults.go
@@ -40,6 +40,16 @@
 	StopDaemon // stop_daemon
 	// PauseDaemon stops a daemon's threads for a while.
 	PauseDaemon // pause_daemon
+	// LinkReset resets the connections of a gate or an upstream.
+	LinkReset // link_reset
+	// LinkLate delays what they carry.
+	LinkLate // link_late
+	// LinkOneWay loses what the gate or the upstream sends.
+	LinkOneWay // link_one_way
+	// LinkSilent loses what goes either way, without a reset.
+	LinkSilent // link_silent
+	// PlatformSilent loses what goes to and from the platform, without a reset.
+	PlatformSilent // platform_silent
 	// PlatformDown makes the platform refuse reads.
 	PlatformDown // platform_down
 	// PlatformStale freezes what the platform shows.
--- a/cftlab/fleet/fleet.go
+++ b/cftlab/fleet/fleet.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"comfreytack/cftlab/deploy"
+	"comfreytack/cftlab/proxy"
 	"comfreytack/cftlab/stub"
 	"comfreytack/core/model"
 )
@@ -50,6 +53,10 @@
 	settings Settings
 	platform *Process
 
+	// links has the proxies by where they listen.
+	links     map[model.Address]*proxy.Proxy
+	stopLinks context.CancelFunc
+
 	mutex     sync.Mutex
 	upstreams map[model.UpstreamName]*Process
 	daemons   map[model.UpstreamName]*Process
@@ -69,6 +76,8 @@
 		settings:  settings,
 		upstreams: map[model.UpstreamName]*Process{},
 		daemons:   map[model.UpstreamName]*Process{},
+		links:     map[model.Address]*proxy.Proxy{},
+		stopLinks: func() {},
 	}
 	if err := fleet.startAll(ctx); err != nil {
 		fleet.Stop()
@@ -81,6 +90,9 @@
 	if err := f.writeKeys(); err != nil {
 		return err
 	}
+	if err := f.startLinks(); err != nil {
+		return err
+	}
 	if err := f.startPlatform(); err != nil {
 		return err
 	}
@@ -131,7 +143,7 @@
 	name := place.Daemon.Name
 	args := []string{
 		"upstream",
-		"--listen", fmt.Sprintf("%s=%s", name, place.Daemon.Upstream),
+		"--listen", fmt.Sprintf("%s=%s", name, place.UpstreamListens()),
 		"--control", string(place.Control),
 		"--slots", fmt.Sprint(place.Slots),
 		"--connections", fmt.Sprint(place.Connections),
@@ -254,8 +266,11 @@
 
 // Runs returns the runs of all upstreams, dead ones too.
 func (f *Fleet) Runs() ([]stub.Run, error) {
+	f.mutex.Lock()
+	names := slices.Collect(maps.Keys(f.upstreams))
+	f.mutex.Unlock()
 	runs := []stub.Run{}
-	for name := range f.upstreams {
+	for _, name := range names {
 		some, err := readRuns(f.runLog(name))
 		if err != nil {
 			return nil, err
@@ -272,15 +287,22 @@
 	}
 	defer file.Close()
 	runs := []stub.Run{}
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
+	lines := bufio.NewReader(file)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err == io.EOF {
+			// What has no end yet is being written.
+			return runs, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, path)
+		}
 		var run stub.Run
-		if err := json.Unmarshal(lines.Bytes(), &run); err != nil {
+		if err := json.Unmarshal(line, &run); err != nil {
 			return nil, errors.Wrap(err, path)
 		}
 		runs = append(runs, run)
 	}
-	return runs, errors.WithStack(lines.Err())
 }
 
 // Logs returns the log files of the daemons.
@@ -311,7 +333,9 @@
 	for _, daemon := range f.daemons {
 		daemons = append(daemons, daemon)
 	}
-	return append(stopAll(daemons), stopAll(others)...)
+	killed := append(stopAll(daemons), stopAll(others)...)
+	f.stopLinks()
+	return killed
 }
 
 func stopAll(processes []*Process) []string {
--- /dev/null
+++ b/cftlab/fleet/links.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"context"
+
+	"comfreytack/cftlab/deploy"
+	"comfreytack/cftlab/proxy"
+	"comfreytack/core/model"
+)
+
+// startLinks starts the proxies of a linked site. They run until the fleet stops.
+func (f *Fleet) startLinks() error {
+	ctx, stop := context.WithCancel(context.Background())
+	f.stopLinks = stop
+	links := []deploy.Link{f.settings.Site.PlatformLink}
+	for _, place := range f.settings.Site.Places {
+		links = append(links, place.GateLink, place.UpstreamLink)
+	}
+	for _, link := range links {
+		if link.To == "" {
+			continue
+		}
+		started, err := proxy.New(link.Listen, link.To)
+		if err != nil {
+			return err
+		}
+		f.links[link.Listen] = started
+		go started.Serve(ctx)
+	}
+	return nil
+}
+
+// Link returns the proxy that listens at an address, or nil when there is none.
+func (f *Fleet) Link(listen model.Address) *proxy.Proxy { return f.links[listen] }
--- a/cftlab/loader/send.go
+++ b/cftlab/loader/send.go
@@ -37,6 +37,8 @@
 	Seed uint64
 	// Prefix makes request ids unique among runs.
 	Prefix string
+	// Ended is called at the end of each send, by several goroutines; nil when nobody follows.
+	Ended func(Record)
 }
 
 // Run sends the plan and returns one record for each send, in no particular order.
@@ -121,7 +123,11 @@
 	began := time.Now()
 	records := []Record{}
 	for result := range attacker.Attack(s.target, s.schedule, 0, "") {
-		records = append(records, s.record(began, result))
+		record := s.record(began, result)
+		records = append(records, record)
+		if s.settings.Ended != nil {
+			s.settings.Ended(record)
+		}
 	}
 	return records
 }
--- a/cftlab/verbs/faults.go
+++ b/cftlab/verbs/faults.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"comfreytack/cftlab/deploy"
 	"comfreytack/cftlab/faults"
 	"comfreytack/cftlab/fleet"
 	"comfreytack/cftlab/loader"
+	"comfreytack/cftlab/tally"
 )
 
 var faultsVerb = Verb{
@@ -86,7 +88,8 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	site := deployment.Place(fleet.NewPorts(os.Getpid()).Next)
+	ports := fleet.NewPorts(os.Getpid())
+	site := deployment.Place(ports.Next).Linked(ports.Next)
 	running, err := fleet.Launch(ctx, fleet.Settings{Bin: f.Bin, Folder: folder, Site: site, Flags: f.Flag, Respawn: true})
 	if err != nil {
 		return err
@@ -94,18 +97,13 @@
 	fmt.Fprintf(streams.Out, "seed %d\n", seed)
 	random := rand.New(rand.NewPCG(seed, 0))
 	drawn := faults.Draw(random, kinds, len(site.Places), f.Count, seconds(f.Seconds))
-	applier := faults.New(running, site.Places, func(text string) { fmt.Fprintln(streams.Out, text) })
-	failed := make(chan error, 1)
-	go func() { failed <- applier.Run(ctx, drawn) }()
-	records, err := loader.Run(ctx, loader.Settings{
+	applier := faults.New(running, site, func(text string) { fmt.Fprintln(streams.Out, text) })
+	records, err := f.load(ctx, streams, running, loader.Settings{
 		Targets: site.Callers(),
 		Span:    seconds(f.Seconds),
 		Seed:    seed,
 		Prefix:  prefix(time.Now()),
-	}, f.withCrash(deployment.Plan.Scaled(f.Scale)))
-	if failure := <-failed; err == nil {
-		err = failure
-	}
+	}, deployment, func(ctx context.Context) error { return applier.Run(ctx, drawn) })
 	running.Stop()
 	if err == nil && ctx.Err() != nil {
 		err = errors.New("interrupted; all processes were stopped")
@@ -122,6 +120,30 @@
 	return errors.WithStack(os.RemoveAll(folder))
 }
 
+// load sends the load while faults are applied and answers are compared with runs.
+func (f *faultRun) load(
+	ctx context.Context, streams Streams, running *fleet.Fleet, settings loader.Settings, deployment deploy.Deployment,
+	apply func(context.Context) error,
+) ([]loader.Record, error) {
+	var watching watcher
+	settings.Ended = watching.ended
+	watchCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var beside errgroup.Group
+	beside.Go(func() error { return apply(ctx) })
+	beside.Go(func() error {
+		return watching.run(watchCtx, running, func(totals tally.Totals) {
+			fmt.Fprintf(streams.Out, "a promise is broken now: %+v\n", totals)
+		})
+	})
+	records, err := loader.Run(ctx, settings, f.withCrash(deployment.Plan.Scaled(f.Scale)))
+	stop()
+	if failure := beside.Wait(); err == nil {
+		err = failure
+	}
+	return records, err
+}
+
 // withCrash adds requests with one body that crashes upstreams, on the route of the first
 // non-idempotent stream.
 func (f *faultRun) withCrash(plan loader.Plan) loader.Plan {
