Check large documents without writing texts for what holds, and end stops sooner

Cause: checking a document of 2,000 routes took 16 ms of a core, 0.1 s on the grown sites' thin machines, in the control goroutine: it wrote the place and the texts of each rule before it knew whether the rule holds.

Change: texts are written for broken rules alone; a stop ends by 0.85 of stop_ms, the operators' port 0.1 s later.

--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -22,7 +22,7 @@
 	exchangeTimeout = 10 * time.Second
 	idleTimeout     = 2 * time.Minute
 	maxHeaderBytes  = 64 << 10
-	operatorsStop   = time.Second
+	operatorsStop   = 100 * time.Millisecond
 	// shortestLinger is how long a stopping daemon still refuses work politely, so that the others hear of it.
 	shortestLinger = 2 * time.Second
 	// longestLinger is how much longer it answers callers who keep their connection open; each answer asks
@@ -30,8 +30,9 @@
 	longestLinger = 8 * time.Second
 	// lingerShare bounds each linger to a part of stop_ms.
 	lingerShare = 4
-	// stopShare is the part of stop_ms that work may take, so that the process has ended when it is over.
-	stopShare = 0.95
+	// stopShare is the part of stop_ms that work may take, so that the process has ended when it is over, on a busy
+	// machine too. net/http waits up to five seconds for a connection that was opened and never used.
+	stopShare = 0.85
 	// peerListener is the place of the peer port among the listeners, behind those of HTTP servers.
 	peerListener = 3
 )
--- a/core/query/check/check.go
+++ b/core/query/check/check.go
@@ -181,8 +181,12 @@
 	)
 }
 
+// nameRule writes its texts only for a name that breaks it, since a document has thousands that do not.
 func nameRule(field, name string) rule {
-	return unless(name != "" && len(name) <= maxNameBytes, field, strconv.Quote(name), fmt.Sprintf("a name of 1 to %d bytes", maxNameBytes))
+	if name != "" && len(name) <= maxNameBytes {
+		return rule{}
+	}
+	return rule{field: field, found: strconv.Quote(name), allowed: fmt.Sprintf("a name of 1 to %d bytes", maxNameBytes)}
 }
 
 func same(field, found, want string) rule {
@@ -195,7 +199,10 @@
 }
 
 func inRange(field string, value, low, high int) rule {
-	return unless(low <= value && value <= high, field, strconv.Itoa(value), fmt.Sprintf("from %d to %d", low, high))
+	if low <= value && value <= high {
+		return rule{}
+	}
+	return rule{field: field, found: strconv.Itoa(value), allowed: fmt.Sprintf("from %d to %d", low, high)}
 }
 
 func unless(holds bool, field, found, allowed string) rule {
@@ -205,6 +212,14 @@
 	return rule{field: field, found: found, allowed: allowed}
 }
 
+// within names the place of a rule's field, if the rule is broken.
+func within(broken rule, format string, index int) rule {
+	if broken.field != "" {
+		broken.field = fmt.Sprintf(format, index) + broken.field
+	}
+	return broken
+}
+
 func first(rules ...rule) rule {
 	for _, broken := range rules {
 		if broken.field != "" {
--- a/core/query/check/document.go
+++ b/core/query/check/document.go
@@ -58,38 +58,44 @@
 	type match struct{ host, prefix string }
 	seen := make(map[match]bool, len(routes))
 	for i, route := range routes {
-		place := fmt.Sprintf("routes.%d.", i)
 		key := match{strings.ToLower(route.Host), route.PathPrefix}
 		broken := first(
-			nameRule(place+"name", route.Name),
-			nameRule(place+"host", route.Host),
-			unless(strings.HasPrefix(route.PathPrefix, "/") && strings.HasSuffix(route.PathPrefix, "/"), place+"path_prefix",
-				strconv.Quote(route.PathPrefix), "a path that begins and ends with a slash"),
-			unless(!seen[key], place+"path_prefix", strconv.Quote(route.PathPrefix)+" twice", "each host and prefix once"),
-			inRange(place+"timeout_ms", route.TimeoutMs, 1, maxTimeoutMs),
-			inRange(place+"target_ms", route.TargetMs, 1, maxTimeoutMs),
-			inRange(place+"rank", route.Rank, 0, maxRank),
-			inRange(place+"attempts", route.Attempts, 1, maxAttempts),
-			targetRules(place+"targets", route.Targets, services),
+			nameRule("name", route.Name),
+			nameRule("host", route.Host),
+			prefixRule(route.PathPrefix, seen[key]),
+			inRange("timeout_ms", route.TimeoutMs, 1, maxTimeoutMs),
+			inRange("target_ms", route.TargetMs, 1, maxTimeoutMs),
+			inRange("rank", route.Rank, 0, maxRank),
+			inRange("attempts", route.Attempts, 1, maxAttempts),
+			targetRules(route.Targets, services),
 		)
 		if broken.field != "" {
-			return broken
+			return within(broken, "routes.%d.", i)
 		}
 		seen[key] = true
 	}
 	return rule{}
 }
 
-func targetRules(place string, targets []model.Target, services map[model.ServiceName]bool) rule {
+func prefixRule(prefix string, twice bool) rule {
+	switch {
+	case !strings.HasPrefix(prefix, "/") || !strings.HasSuffix(prefix, "/"):
+		return rule{field: "path_prefix", found: strconv.Quote(prefix), allowed: "a path that begins and ends with a slash"}
+	case twice:
+		return rule{field: "path_prefix", found: strconv.Quote(prefix) + " twice", allowed: "each host and prefix once"}
+	}
+	return rule{}
+}
+
+func targetRules(targets []model.Target, services map[model.ServiceName]bool) rule {
 	for i, target := range targets {
-		field := fmt.Sprintf("%s.%d.", place, i)
-		broken := first(
-			unless(services[target.Service], field+"service", strconv.Quote(string(target.Service)), "a service of the document"),
-			inRange(field+"weight", target.Weight, 1, maxShare),
-		)
+		broken := inRange("weight", target.Weight, 1, maxShare)
+		if !services[target.Service] {
+			broken = rule{field: "service", found: strconv.Quote(string(target.Service)), allowed: "a service of the document"}
+		}
 		if broken.field != "" {
-			return broken
+			return within(broken, "targets.%d.", i)
 		}
 	}
-	return unless(len(targets) > 0, place, "no target", "at least one")
+	return unless(len(targets) > 0, "targets", "no target", "at least one")
 }
