Split what foretells and what finds overruns from the gate

Cause: core/command/admit/gate.go had grown to 420 lines with three jobs.

Change: expect.go and overrun.go; functions moved as they were.

Measured: tests of the package pass; no behaviour changed.

--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -146,15 +146,6 @@
 	return running
 }
 
-// TakeOverruns returns the tickets that started as short and turned out to be long since the last call, so
-// that their routes' class can be learnt before they end. It leaves out those of a time in which no later
-// short work ended: then the upstream stands still and says nothing of a route.
-func (g *Gate[D]) TakeOverruns() []uint64 {
-	taken := g.overruns
-	g.overruns = nil
-	return taken
-}
-
 // NextDeadline returns the first deadline of the waiting tickets, or false when none waits.
 func (g *Gate[D]) NextDeadline() (time.Time, bool) {
 	_, first, found := g.queued.Least()
@@ -228,17 +219,6 @@
 	return decisions
 }
 
-// hopeless tells whether starting the ticket now would risk a slot for an answer that comes too late.
-// Durations of long work spread too widely to foretell.
-func (g *Gate[D]) hopeless(now time.Time, ticket Ticket) bool {
-	left := ticket.Deadline.Sub(now)
-	if ticket.Class == model.Long {
-		return left <= 0
-	}
-	expected := g.expected(ticket)
-	return left <= expected.cautious()
-}
-
 func (g *Gate[D]) may(ticket Ticket) bool {
 	if len(g.running) >= g.Slots {
 		return false
@@ -262,108 +242,6 @@
 	return Decision{Ticket: ticket.ID, Action: Start}
 }
 
-// reclass turns running short tickets that have taken far too long into long ones, so that they count
-// against the slots for long work.
-func (g *Gate[D]) reclass(now time.Time) {
-	limit := g.times[model.Short].overrun()
-	if limit == 0 {
-		return
-	}
-	for {
-		id, startedAt, found := g.shorts.Least()
-		if !found || now.Sub(startedAt) < limit {
-			return
-		}
-		g.shorts.Remove(id)
-		h := g.running[id]
-		h.ticket.Class = model.Long
-		g.long++
-		if startedAt.Before(g.turnover) && len(g.overruns) < g.Slots {
-			g.overruns = append(g.overruns, id)
-		}
-		g.times[model.Short].add(limit)
-		limits, _ := g.limitsOf(h.ticket)
-		g.discipline.Reclassed(h.ticket, limits, g.times[model.Long].average())
-	}
-}
-
-func (g *Gate[D]) measure(h *held, taken time.Duration) {
-	if h.abandoned {
-		return
-	}
-	g.times[h.ticket.Class].add(taken)
-	if h.ticket.Route != "" {
-		known, _ := g.routes.Get(h.ticket.Route)
-		known.add(taken)
-		g.routes.Set(h.ticket.Route, known)
-	}
-	if h.ticket.Class == model.Short && h.startedAt.After(g.turnover) {
-		g.turnover = h.startedAt
-	}
-}
-
-// spare returns how much earlier than needed a ticket that waits now is likely to end. One with a target
-// is held to that: a queue in which answers lose their worth serves nobody better than a refusal at once.
-func (g *Gate[D]) spare(now time.Time, ticket Ticket, wait time.Duration) time.Duration {
-	expected := g.expected(ticket)
-	if ticket.Target.IsZero() {
-		return ticket.Deadline.Sub(now) - wait - expected.cautious()
-	}
-	if ticket.Nested {
-		return ticket.Deadline.Sub(now) - wait - expected.average()
-	}
-	return ticket.Target.Sub(now) - wait - expected.likely()
-}
-
-// comeBack returns how long a refused caller had better wait, where its ticket lacked the given time. One that has a
-// target is told when the next slot is likely to be free: what waits now will have ended or gone elsewhere before the
-// target, and at that moment there may be room.
-func (g *Gate[D]) comeBack(ticket Ticket, lacked time.Duration) time.Duration {
-	if ticket.Target.IsZero() {
-		return lacked
-	}
-	return g.times[ticket.Class].average() / g.turning(ticket.Class)
-}
-
-// Work returns the mean service time to expect of a ticket; zero before the first was measured.
-func (g *Gate[D]) Work(ticket Ticket) time.Duration {
-	expected := g.expected(ticket)
-	return expected.average()
-}
-
-// expected returns the service time to expect of a ticket: that of its route, or else of its class.
-func (g *Gate[D]) expected(ticket Ticket) estimate {
-	if ticket.Route != "" {
-		if known, found := g.routes.Get(ticket.Route); found {
-			return known
-		}
-	}
-	known := g.times[ticket.Class]
-	if known.mean == 0 && !ticket.Target.IsZero() {
-		known.add(ticket.Target.Sub(ticket.ArrivedAt) / targetOverWork)
-	}
-	return known
-}
-
-// targetOverWork is how many times its work a route's target is taken to be before any work was measured.
-const targetOverWork = 4
-
-// wait returns how long the ticket would wait if it were queued now: the work ahead of it and the rest
-// of the work that holds the slots, spread over the slots of its class.
-func (g *Gate[D]) wait(ticket Ticket, limits model.Limits) time.Duration {
-	each := g.times[ticket.Class].average()
-	return (g.discipline.Ahead(ticket, limits, each) + each) / g.turning(ticket.Class)
-}
-
-// turning counts the slots whose work ends within the service time of a class: those that long work holds
-// do not come back to short work soon.
-func (g *Gate[D]) turning(class model.Class) time.Duration {
-	if class == model.Long {
-		return time.Duration(max(1, g.long))
-	}
-	return time.Duration(max(1, g.Slots-g.long))
-}
-
 func (g *Gate[D]) enqueued(ticket Ticket) {
 	g.queued.Set(ticket.ID, queued{deadline: ticket.Deadline, class: ticket.Class})
 	if ticket.Class == model.Short {
