Hand out all slots of upstreams that have two

Cause: four fifths of two slots is one, and one slot gets less done than two at 1.7 times the work's time.

Change: a share that leaves so few is not taken.

--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -263,12 +263,27 @@
 		return
 	}
 	g.applied = snapshot.Revision
-	slots := max(1, int(g.settings.UsableShare*float64(snapshot.Slots)))
+	slots := usable(g.settings.UsableShare, snapshot.Slots)
 	g.wake(g.gate.SetLimits(now, slots, snapshot.Limits))
 	g.limiter.SetMost(slots)
 	g.resize(now, g.limiter.Slots())
 }
 
+// fullFactor is how much longer work takes on an upstream that is nearly full.
+const fullFactor = 1.7
+
+// usable returns how many of an upstream's slots are handed out. Where there are few, leaving one free would cost more
+// than the upstream's slowness with all of them in use.
+//
+//	four fifths of 9 slots -> 7, of 2 slots -> 2
+func usable(share float64, slots int) int {
+	reduced := int(share * float64(slots))
+	if float64(reduced)*fullFactor < float64(slots) {
+		reduced = slots
+	}
+	return max(1, reduced)
+}
+
 func refuseAtDoor(snapshot *model.Snapshot, call model.Call) *model.Failure {
 	switch {
 	case !snapshot.Ready:
--- a/core/traffic/hold/hold_test.go
+++ b/core/traffic/hold/hold_test.go
@@ -93,6 +93,8 @@
 	}{
 		{name: "all", share: 1, slots: 9, want: 9},
 		{name: "four fifths", share: 0.8, slots: 9, want: 7},
+		{name: "four fifths of few", share: 0.8, slots: 3, want: 2},
+		{name: "too few to leave one free", share: 0.8, slots: 2, want: 2},
 		{name: "never none", share: 0.8, slots: 1, want: 1},
 		{name: "not published yet", share: 0.8, slots: 0, want: 1},
 	}
