--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -45,7 +45,7 @@
 	Rank int
 	// Target is when the answer loses its full worth; zero when Deadline counts alone.
 	Target time.Time
-	// Insist asks for a slot among the last ones.
+	// Insist asks to wait when no slot is free; a ticket with a target that does not is sent elsewhere.
 	Insist bool
 	// Nested tickets are calls of work that has begun elsewhere. They go first, and count as in time until Deadline.
 	Nested bool
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -26,7 +26,8 @@
 	Attempts int
 	// Instance is the life of the upstream that an attempt is meant for; empty for any.
 	Instance InstanceID
-	// Insist asks a gate to take the call although its upstream is slow at the moment: no other is left.
+	// Insist asks a gate to take the call although its upstream is slow at the moment, or to let it wait for a slot: no
+	// other is left.
 	Insist bool
 	// Parent is the ID of the request whose run made this call, as its sender says; empty when it says none.
 	Parent string
--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -111,7 +111,7 @@
 	BodyTooLarge // body_too_large
 	// UpstreamReplaced means that another instance stands where the call was sent.
 	UpstreamReplaced // upstream_replaced
-	// NearlyFull means that the upstream has few slots left; the last ones are for calls that no other takes.
+	// NearlyFull means that all slots that the gate hands out are in use, and that another upstream may have a free one.
 	NearlyFull // nearly_full
 	// UpstreamSlow means that the upstream's machine is slowed by others at the moment.
 	UpstreamSlow // upstream_slow
