Check addresses in one place

Cause: settings and published upstreams had their addresses checked by two rules; a published gate could have port 0.

Change: strict.Address serves both.

--- a/core/query/check/check.go
+++ b/core/query/check/check.go
@@ -9,7 +9,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -194,8 +193,8 @@
 }
 
 func addressRule(field string, address model.Address) rule {
-	_, err := netip.ParseAddrPort(string(address))
-	return unless(err == nil, field, strconv.Quote(string(address)), "an IP address and port")
+	found, allowed := strict.Address(string(address))
+	return unless(found == "", field, found, allowed)
 }
 
 func inRange(field string, value, low, high int) rule {
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"os"
 	"strconv"
 
@@ -101,7 +100,7 @@
 		{"operators", s.Operators},
 		{"upstream", s.Upstream},
 	} {
-		if found, allowed := checkAddress(listener.address); found != "" {
+		if found, allowed := strict.Address(string(listener.address)); found != "" {
 			return listener.field, found, allowed
 		}
 		if other, twice := seen[listener.address]; twice {
@@ -124,7 +123,7 @@
 		{"seeds", s.Seeds},
 	} {
 		for i, address := range list.addresses {
-			if found, allowed := checkAddress(address); found != "" {
+			if found, allowed := strict.Address(string(address)); found != "" {
 				return fmt.Sprintf("%s.%d", list.field, i), found, allowed
 			}
 		}
@@ -163,15 +162,3 @@
 	}
 	return "", "", ""
 }
-
-func checkAddress(address model.Address) (found, allowed string) {
-	const form = "an IP address and a port from 1 to 65535, such as 127.0.0.1:7101"
-	if address == "" {
-		return "nothing", form
-	}
-	parsed, err := netip.ParseAddrPort(string(address))
-	if err != nil || parsed.Port() == 0 {
-		return strconv.Quote(string(address)), form
-	}
-	return "", ""
-}
