Leave nested calls to the interface whose gates order by rank

Cause: callers were promised that gates take calls with Comfreytack-Parent-Request-Id first. On the project's own interface gates share by contract, which goes before it, so nothing came of the header.

Change: the header is gone from the project's own interface. The platform's is as it was; no decision there changes.

--- a/cftd/talk/native.go
+++ b/cftd/talk/native.go
@@ -36,7 +36,6 @@
 		Service:  service,
 		Method:   r.Method,
 		Path:     path,
-		Parent:   r.Header.Get(wire.HeaderParentID),
 	}
 	if routed {
 		follow(&call, route, r.URL.Path, snapshot.Self.Service, now)
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -29,7 +29,8 @@
 	// Insist asks a gate to take the call although its upstream is slow at the moment, or to let it wait for a slot: no
 	// other is left.
 	Insist bool
-	// Parent is the ID of the request whose run made this call, as its sender says; empty when it says none.
+	// Parent is the ID of the request whose run made this call, as its sender says; empty when it says none, and on the
+	// project's own interface, where a customer's share decides.
 	Parent string
 	// Nested says that the upstream beside the entry is working on Parent: refusing the call wastes that work.
 	Nested bool
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -19,7 +19,6 @@
 	HeaderCustomer       = "Comfreytack-Customer"
 	HeaderDeadlineMs     = "Comfreytack-Deadline-Ms"
 	HeaderRequestID      = "Comfreytack-Request-Id"
-	HeaderParentID       = "Comfreytack-Parent-Request-Id"
 	HeaderVerdict        = "Comfreytack-Verdict"
 	HeaderReason         = "Comfreytack-Reason"
 	HeaderIdempotencyKey = "Idempotency-Key"
