Keep off upstreams that have been replaced, until they are listed anew

Two machines had gone dark and came back beside servers of another service; the old entries stayed listed for 1.6 s (log lines "gate refused", upstream_replaced, 184 of them from 3.1 to 4.7 s; "call failed" upstream_replaced 19, upstream_down 16). Each entry asked them again and again: a refusal counted as load. And when all others were strained, the least strained one was chosen without regard to ejections, so a dead upstream with an idle last report went first.

Change: upstream_replaced ejects at once, as a refused connection does; an ejected upstream is the least strained only if there is no other.

--- a/core/command/load/life.go
+++ b/core/command/load/life.go
@@ -20,7 +20,7 @@
 	Refused // refused
 	// Failed means that the upstream died, broke off or answered with an error of its own.
 	Failed // failed
-	// Unreachable means that the upstream or its gate took no connection.
+	// Unreachable means that the upstream or its gate took no connection, or that another life of it stands there.
 	Unreachable // unreachable
 	// Unrelated means that the call ended for a reason of the caller's, its deadline among them.
 	Unrelated // unrelated
@@ -42,7 +42,7 @@
 	switch reason {
 	case model.NoReason:
 		return Answered
-	case model.UpstreamDown:
+	case model.UpstreamDown, model.UpstreamReplaced:
 		return Unreachable
 	case model.UpstreamDied, model.GateLost, model.Truncated:
 		return Failed
--- a/core/command/load/load_test.go
+++ b/core/command/load/load_test.go
@@ -116,6 +116,13 @@
 				c.Assert(got.Failing > 0.4, qt.IsTrue)
 			},
 		},
+		{
+			name: "a gate with another upstream than the one that is meant is ejected at once",
+			act:  func(b *load.Book) { repeat(b, 1, load.Outcome{Result: load.ResultOf(model.UpstreamReplaced)}) },
+			check: func(c *qt.C, got route.Candidate) {
+				c.Assert(got.EjectedUntil, qt.Equals, start.Add(500*time.Millisecond))
+			},
+		},
 		{
 			name: "an answer between failures prevents the ejection",
 			act: func(b *load.Book) {
--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -70,12 +70,18 @@
 // waitCost is what a wait for a slot counts, in usual work times, before the wait for those ahead.
 const waitCost = 2.5
 
+// ejectedCost is above every other cost: an upstream that was ejected is called if there is no other.
+const ejectedCost = 1000
+
 // strain is the expected time of a call in usual work times, as far as the last report tells.
 func (c *Candidate) strain(now time.Time) float64 {
 	cost := paceOf(now, c)
 	if c.Report.InFlight >= c.Report.Slots {
 		cost += waitCost + float64(c.Report.Queued)/float64(max(1, c.Report.Slots))
 	}
+	if now.Before(c.EjectedUntil) {
+		cost += ejectedCost
+	}
 	return cost
 }
 
--- a/core/query/route/strain_test.go
+++ b/core/query/route/strain_test.go
@@ -19,6 +19,10 @@
 			ReportAt: now,
 		}
 	}
+	ejected := func(candidate route.Candidate) route.Candidate {
+		candidate.EjectedUntil = now.Add(time.Second)
+		return candidate
+	}
 	tests := []struct {
 		name       string
 		candidates []route.Candidate
@@ -26,6 +30,8 @@
 	}{
 		{name: "none"},
 		{name: "free slots before full", candidates: []route.Candidate{reported("full", 9, 0, 100), reported("nearly", 8, 0, 100)}, want: "nearly"},
+		{name: "one with a queue before an ejected one", candidates: []route.Candidate{ejected(reported("dead", 0, 0, 100)), reported("queue", 9, 9, 100)}, want: "queue"},
+		{name: "an ejected one if there is no other", candidates: []route.Candidate{ejected(reported("dead", 0, 0, 100))}, want: "dead"},
 		{name: "full before a queue", candidates: []route.Candidate{reported("queue", 9, 1, 100), reported("full", 9, 0, 100)}, want: "full"},
 		{name: "idle in a spell before full with a queue", candidates: []route.Candidate{reported("full", 9, 9, 100), reported("slow", 0, 0, 400)}, want: "slow"},
 		{name: "nearly full before a spell", candidates: []route.Candidate{reported("slow", 0, 0, 400), reported("nearly", 8, 0, 100)}, want: "nearly"},
