--- a/cftd/clock/clock.go
+++ b/cftd/clock/clock.go
@@ -31,7 +31,8 @@
 	return max(0, c.boot()-c.bootAt-steady)
 }
 
-// bootTime reads the time since the machine's start with its suspensions. Linux always has this clock.
+// bootTime reads the time since the machine's start with its suspensions. Linux has had this clock since 2.6.39; without
+// it nothing counts as a suspension.
 func bootTime() time.Duration {
 	var value unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &value); err != nil {
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -146,8 +146,12 @@
 		return nil
 	}
 	failure.Spent = header.Get(HeaderSpent) == "1"
-	// A time that cannot be read counts as none: the refusal holds without it.
-	failure.RetryAfter, _ = takeMilliseconds(header, HeaderWaitMs)
+	wait, err := takeMilliseconds(header, HeaderWaitMs)
+	if err != nil {
+		// The refusal holds without its time; the log line of the call tells the cause.
+		failure.Cause = err
+	}
+	failure.RetryAfter = wait
 	return failure
 }
 
