Rank daemons for their start only while they may be starting

Cause: each message of a peer had all peers ranked anew to tell whether the daemon was still starting.

Change: behind the longest start nobody is ranked. The answer is the same.

Measured: tests of core/command/daemon pass.

--- a/core/command/daemon/reads.go
+++ b/core/command/daemon/reads.go
@@ -63,7 +63,11 @@
 // starting tells whether the daemon has just started. Then its own reads tell it all, and others that start with
 // it need not be told of every upstream that registers.
 func (s *State) starting(now time.Time) bool {
-	return now.Sub(s.Start.At) < startingFor+time.Duration(s.readRank(now))*startingStep
+	age := now.Sub(s.Start.At)
+	if age >= startingFor+lastRank*startingStep {
+		return false
+	}
+	return age < startingFor+time.Duration(s.readRank(now))*startingStep
 }
 
 // lacks tells whether a peer has told of changes that this daemon does not have.
