Report reads of the platform over a tree

Below 256 the one reader sent to all, 89 messages a read over a link of 10 Mbit/s; and while a fleet started, or after a large change, every daemon that read reported its read to all others.

Ruled out: raising the limit (295 messages for each read from one daemon of 0.16 cores), and duplicate trees (twice the messages for a daemon that is silently unable to pass on; taking turns at the head costs none).

Change: core/query/tree splits the fleet by failure domain into at most 20 branches; heads pass a report on. A read because of a missing change, and the first read, are not reported and make nobody the reader, which replaces the start period in which nobody reported. Late ranks read at random times. Tests of that start period are replaced by ones of the new rule.

--- a/cftd/peers/peers.go
+++ b/cftd/peers/peers.go
@@ -36,9 +36,10 @@
 const (
 	// MaxMessageBytes is the largest message that is sent or accepted.
 	MaxMessageBytes = 16 << 20
-	// maxOutgoing lets a daemon report its reads to all others, and maxIncoming lets it receive from all of them.
-	maxOutgoing  = daemon.MaxBroadcastFleet
-	maxIncoming  = daemon.MaxBroadcastFleet
+	// The limits of connections leave room for the heads of the reports that a daemon sends, for its sample, and for
+	// daemons that start.
+	maxOutgoing  = 256
+	maxIncoming  = 256
 	queueLength  = 16
 	dialTimeout  = time.Second
 	writeTimeout = 5 * time.Second
--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"comfreytack/core/command/poison"
 	"comfreytack/core/command/reader"
 	"comfreytack/core/model"
+	"comfreytack/core/query/tree"
 )
 
 // Settings has the explicit dependencies of a daemon's control state.
@@ -74,10 +75,12 @@
 	inputs   inputs
 	// listed has the upstreams of the kept services, and notLive the names of those that are listed as leaving
 	// or gone.
-	listed map[model.UpstreamName]model.Upstream
-	// listedPeers has the daemons beside listed upstreams, without this one, in the order of the lists.
-	listedPeers []model.Peer
-	notLive     []model.UpstreamName
+	listed  map[model.UpstreamName]model.Upstream
+	notLive []model.UpstreamName
+	// listedMembers has the daemons beside listed upstreams, without this one, in the order of package tree.
+	listedMembers []tree.Member
+	// earlierReaders has the addresses of those that rank before this daemon for reads.
+	earlierReaders []model.Address
 }
 
 // Reported is a revision that a peer has and this daemon may lack.
@@ -105,7 +108,7 @@
 		Config:   config.New(wanted),
 		Members:  member.New(self, settings.Seeds),
 		Gossip:   gossip.New(now, settings.Random),
-		Lease:    lease.New(),
+		Lease:    lease.New(settings.Random),
 		Leaves:   leave.New(),
 		Expired:  Expired{Kept: map[model.InstanceID]model.Upstream{}},
 		Pause:    pause.New(now),
@@ -198,7 +201,7 @@
 	// If a peer has more than this read showed, its next message says so.
 	s.Reported.Revision = s.Config.Complete
 	s.Start.platformRead(s.Members.Addresses())
-	if !s.Settings.Leased || !current {
+	if !s.Settings.Leased || !current || !s.Lease.Renewing {
 		return nil
 	}
 	return s.reportRead(now, before)
--- a/core/command/daemon/reads.go
+++ b/core/command/daemon/reads.go
@@ -1,33 +1,20 @@
 package daemon
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"comfreytack/core/command/gossip"
 	"comfreytack/core/command/lease"
 	"comfreytack/core/command/reader"
 	"comfreytack/core/model"
 )
 
 const (
-	// maxPushBytes bounds the changes that a daemon sends along with the report of its read. All copies of a larger
-	// delta would have to leave over the reader's one link, which costs more than a read by each of the others.
-	maxPushBytes = 16 << 10
 	// ownReadTimeout is how long a daemon that lacks changes waits for its own read before it asks a peer as well.
 	ownReadTimeout = 700 * time.Millisecond
-	// startPeriod is how long a daemon counts as starting, and startPeriodStep how much longer for each daemon that
-	// reads before it: in a fleet that starts as a whole, the first one reports its reads before the others would.
-	startPeriod     = 2 * time.Second
-	startPeriodStep = 150 * time.Millisecond
-	// MaxBroadcastFleet is the largest fleet in which a daemon reports its reads to all others. In a larger one it
-	// reports them to its sample, and more daemons read.
-	MaxBroadcastFleet = 256
-	// maxReadRank bounds the rank of a daemon, so that none waits long for its turn to read when many that rank
-	// before it are gone.
-	maxReadRank = 10
+	// startPeriod is how long a daemon counts as starting. Others that start with it change the list all the time.
+	startPeriod = 2 * time.Second
 )
 
 // readDue reports whether to start a read of the platform now.
@@ -62,15 +49,9 @@
 	return reader.Wait
 }
 
-// starting reports whether the daemon has just started. It then relies on its own reads and does not report them:
-// while a whole fleet starts, a report of every upstream that registers would go to daemons that read it anyway.
-func (s *State) starting(now time.Time) bool {
-	age := now.Sub(s.Start.At)
-	if age >= startPeriod+maxReadRank*startPeriodStep {
-		return false
-	}
-	return age < startPeriod+time.Duration(s.readRank(now))*startPeriodStep
-}
+// starting reports whether the daemon has just started. It then reads less often, and reads what it lacks rather than
+// ask peers, which may be starting too.
+func (s *State) starting(now time.Time) bool { return now.Sub(s.Start.At) < startPeriod }
 
 // lacksChanges reports whether a peer has a revision above that of this daemon.
 func (s *State) lacksChanges() bool { return s.Reported.Revision > s.Config.Complete }
@@ -94,27 +75,15 @@
 	return s.starting(now) || now.Sub(s.Reported.Since) < ownReadTimeout
 }
 
-// readRank returns how many daemons read before this one, at most maxReadRank. Those that could not be reached
-// lately don't count.
+// readRank returns how many daemons read before this one. Those that could not be reached lately don't count.
 func (s *State) readRank(now time.Time) int {
 	rank := 0
-	for _, peer := range s.reportPeers(now) {
-		if s.readsBefore(peer.Name) {
+	for _, address := range s.earlierReaders {
+		if !s.Members.Avoided(now, address) {
 			rank++
 		}
 	}
-	return min(rank, maxReadRank)
-}
-
-// reportPeers returns the daemons that get reports of reads, without those that could not be reached lately.
-func (s *State) reportPeers(now time.Time) []model.Peer {
-	peers := s.Members.Sample
-	if len(s.listed) <= MaxBroadcastFleet {
-		peers = s.listedPeers
-	}
-	return slices.DeleteFunc(slices.Clone(peers), func(peer model.Peer) bool {
-		return s.Members.Avoided(now, peer.Address)
-	})
+	return rank
 }
 
 // readsBefore reports whether another daemon ranks before this one for reads. The order, by the hash of the name,
@@ -122,47 +91,3 @@
 func (s *State) readsBefore(other model.UpstreamName) bool {
 	return xxhash.Sum64String(string(other)) < xxhash.Sum64String(string(s.self.Name))
 }
-
-// reportRead reports a read by this daemon to others, with the changes since the given revision if they are small.
-func (s *State) reportRead(now time.Time, since model.Revision) []Effect {
-	if s.starting(now) {
-		return nil
-	}
-	delta := s.smallDeltaSince(since)
-	var effects []Effect
-	for _, peer := range s.reportPeers(now) {
-		message := s.message(now, peer.Address)
-		message.Delta = delta
-		effects = append(effects, SendPeer{To: peer.Address, Message: message})
-	}
-	return effects
-}
-
-// smallDeltaSince returns the changes since a revision, or nil if there are none, they exceed maxPushBytes, or the
-// daemon had no configuration before.
-func (s *State) smallDeltaSince(since model.Revision) *model.Delta {
-	if since == 0 || since == s.Config.Complete {
-		return nil
-	}
-	delta, known := s.Config.Since(since, maxPushBytes)
-	if !known || delta.Revision != s.Config.Complete || delta.Bytes() > maxPushBytes {
-		return nil
-	}
-	return &delta
-}
-
-// detectOutageEnd starts the grace period for expired entries if a peer's message shows that the platform answers
-// again. It is called before the values in that message are applied, since they may remove such entries.
-func (s *State) detectOutageEnd(now time.Time, message gossip.Message) {
-	if message.Fresh != nil && s.Lease.ReportEndsOutage(now, *message.Fresh) {
-		s.Expired.startGrace(now)
-	}
-}
-
-// mergeFreshness adopts the age of a peer's knowledge if this daemon has all that the peer has.
-func (s *State) mergeFreshness(now time.Time, message gossip.Message) {
-	if message.Fresh == nil || s.Config.Complete < message.Digest.Revision {
-		return
-	}
-	s.Lease.Heard(now, *message.Fresh, s.readsBefore(message.From.Name))
-}
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -34,7 +34,9 @@
 	if message.Digest.Ready && answered && caughtUp {
 		s.Pause.Confirmed(message.Answers)
 	}
-	return append(s.answerWant(now, message), s.compareDigest(now, message)...)
+	effects := s.passOn(now, message)
+	effects = append(effects, s.answerWant(now, message)...)
+	return append(effects, s.compareDigest(now, message)...)
 }
 
 // applyValues applies the values in a message.
--- a/core/command/daemon/view.go
+++ b/core/command/daemon/view.go
@@ -12,6 +12,7 @@
 	"comfreytack/core/query/check"
 	"comfreytack/core/query/limits"
 	"comfreytack/core/query/match"
+	"comfreytack/core/query/tree"
 )
 
 // inputs identifies what the maps of a snapshot were built from: hashes of the configuration, and the number
@@ -106,16 +107,21 @@
 	}
 	s.listed = make(map[model.UpstreamName]model.Upstream, len(upstreams))
 	s.notLive = nil
-	s.listedPeers = nil
+	s.earlierReaders = nil
+	var peers []model.Peer
 	for _, upstream := range upstreams {
 		s.listed[upstream.Name] = upstream
 		if upstream.Name != s.self.Name {
-			s.listedPeers = append(s.listedPeers, member.PeerOf(upstream))
+			peers = append(peers, member.PeerOf(upstream))
+		}
+		if s.readsBefore(upstream.Name) {
+			s.earlierReaders = append(s.earlierReaders, upstream.Peer)
 		}
 		if upstream.State != model.Live {
 			s.notLive = append(s.notLive, upstream.Name)
 		}
 	}
+	s.listedMembers = tree.Members(peers)
 }
 
 // leaving returns the upstreams that take no new work. Only those with a notice, a mark or a listed state
--- a/core/command/daemon/world_test.go
+++ b/core/command/daemon/world_test.go
@@ -31,6 +31,8 @@
 	// staleRevision makes reads see no revision above it; zero makes them see all.
 	staleRevision model.Revision
 	reads         int
+	// history has each revision with the time of its publication.
+	history []revisionSince
 }
 
 func (p *platform) publish(key string, value any) model.Revision {
@@ -45,6 +47,23 @@
 	return p.revision
 }
 
+// publishNow publishes a contract and remembers when.
+func (w *world) publishNow(value model.Contract) {
+	revision := w.platform.publish("contracts/"+string(value.Customer), value)
+	w.platform.history = append(w.platform.history, revisionSince{revision: revision, since: w.now})
+}
+
+// publishedBefore returns the newest revision that was published before a time.
+func (w *world) publishedBefore(at time.Time) model.Revision {
+	revision := model.Revision(0)
+	for _, entry := range w.platform.history {
+		if entry.since.Before(at) {
+			revision = entry.revision
+		}
+	}
+	return revision
+}
+
 func (p *platform) read(after model.Revision) model.Delta {
 	delta := model.Delta{After: after, Revision: p.revision}
 	if p.staleRevision > 0 {
@@ -142,6 +161,8 @@
 	calls map[*node][]model.ServiceName
 	// sampleBytes measures the size of one message in sampleBytes and extrapolates; zero measures none.
 	sampleBytes int
+	// leased makes the daemons read the platform by lease.
+	leased bool
 	// onReady is called when a node becomes ready; it may be nil.
 	onReady func(*node)
 }
@@ -211,6 +232,7 @@
 		Seeds:  addresses,
 		Calls:  calls,
 		Random: rand.New(rand.NewPCG(w.random.Uint64(), 2)),
+		Leased: w.leased,
 	}, w.now)
 	w.tick(n, n.starts)
 }
--- a/core/command/gossip/gossip.go
+++ b/core/command/gossip/gossip.go
@@ -22,6 +22,7 @@
 	"comfreytack/core/command/poison"
 	"comfreytack/core/command/reader"
 	"comfreytack/core/model"
+	"comfreytack/core/query/tree"
 )
 
 // The timing and bounds of gossip.
@@ -78,6 +79,16 @@
 	Nonce uint64 `json:"nonce"`
 }
 
+// Report is what a daemon that has read the platform reports to all others, over package tree.
+type Report struct {
+	// Fresh is the age of what was read, and names the reader.
+	Fresh lease.Freshness `json:"fresh"`
+	// Revision is what the reader had in force after the read.
+	Revision model.Revision `json:"revision"`
+	// Rest has the daemons that the receiver passes the report on to; absent if there are none.
+	Rest *tree.Range `json:"rest,omitempty"`
+}
+
 // Message is the only kind of message between daemons. It gets no reply; an answer is a message of its own.
 type Message struct {
 	// From is the sender.
@@ -96,6 +107,8 @@
 	Reads []reader.Read `json:"reads,omitempty"`
 	// Fresh says how old the sender's knowledge is; absent before it has any.
 	Fresh *lease.Freshness `json:"fresh,omitempty"`
+	// Report is about a read of the platform, possibly by a daemon other than the sender; Delta may have its changes.
+	Report *Report `json:"report,omitempty"`
 	// Leaves has notices of upstreams that leave.
 	Leaves []leave.Notice `json:"leaves,omitempty"`
 	// Crashes is evidence of requests that crash upstreams.
--- a/core/command/lease/lease.go
+++ b/core/command/lease/lease.go
@@ -6,8 +6,9 @@
 // its reads, and a daemon that hears of no reads continues with its own.
 //
 //	s-1 (rank 0) reads every Wait and reports to all   ->  the others do not read
-//	s-1 is killed                                      ->  s-2 (rank 1) reads MaxAge + RankDelay after the last report
+//	s-1 is killed                                      ->  s-2 (rank 1) reads MaxAge + rankDelay after the last report
 //	s-9 loses contact to its peers, not the platform   ->  it reads for itself, every Wait
+//	s-5 starts, or hears of a change that it lacks     ->  it reads once and does not become the reader
 package lease
 
 import (
@@ -22,8 +23,13 @@
 	Wait = 500 * time.Millisecond
 	// MaxAge is the age of knowledge at which the daemon of rank 0 reads.
 	MaxAge = 900 * time.Millisecond
-	// RankDelay is how much longer each further rank waits, so that one reads and the others hear of it in time.
-	RankDelay = 30 * time.Millisecond
+	// rankDelay is how much longer each of the first orderedRanks waits, so that one reads and the others hear of it.
+	rankDelay    = 30 * time.Millisecond
+	orderedRanks = 10
+	// The later ranks read at random times after those, in a period of lateRankDelay for each of them and of maxLateDelay
+	// at most. They have their turn only if the first ones are gone or their reports are lost.
+	lateRankDelay = 2 * time.Millisecond
+	maxLateDelay  = 500 * time.Millisecond
 	// readGap is the pause after a successful read, so that changes published shortly after each other are read
 	// together. startupReadGap is the pause in a daemon that has just started, perhaps together with a whole fleet
 	// whose upstreams register one by one.
@@ -44,26 +50,31 @@
 	FreshAt time.Time
 	// LowerRankReadAt is when a daemon with a lower rank, which reads before this one, last reported a read of its own.
 	LowerRankReadAt time.Time
-	// OwnReadAt is when this daemon's last successful read ended.
+	// OwnReadAt is when this daemon's last successful read ended that was due by the age of its knowledge.
 	OwnReadAt time.Time
 	// DueAt is the earliest start of the next read.
 	DueAt time.Time
 	// InFlight is true while a read waits for its answer.
 	InFlight bool
+	// Renewing is true if the latest read was due by the age of this daemon's knowledge. Only such a read makes it the
+	// reader for others.
+	Renewing bool
 	// Failures counts failed reads in a row.
 	Failures int
+	// lateShare places this daemon in the period of the late ranks, from 0 to 1.
+	lateShare float64
 }
 
 // Freshness is what one daemon reports to another about the age of its knowledge.
 type Freshness struct {
 	// AgeMs is the age of the knowledge when this was sent, in milliseconds.
 	AgeMs int64 `json:"age_ms"`
-	// Reader is the sending daemon if the knowledge comes from its own read, else empty.
+	// Reader is the daemon whose read this reports, if that was due by age; else empty.
 	Reader model.UpstreamName `json:"reader,omitempty"`
 }
 
 // New returns the State of a daemon that knows nothing.
-func New() *State { return &State{} }
+func New(random *rand.Rand) *State { return &State{lateShare: random.Float64()} }
 
 // TryStart reports whether a read is due now, and if so marks it as in flight; the caller starts it and calls Ended.
 // The rank is the number of daemons that read before this one; behind says that others are known to have changes that
@@ -72,13 +83,25 @@
 	if s.InFlight || now.Before(s.DueAt) {
 		return false
 	}
-	if !behind && !s.isReader(now) && now.Sub(s.FreshAt) < MaxAge+time.Duration(rank)*RankDelay {
+	first := s.FreshAt.IsZero()
+	renewing := !first && (s.isReader(now) || now.Sub(s.FreshAt) >= MaxAge+s.turn(rank))
+	if !first && !renewing && !behind {
 		return false
 	}
 	s.InFlight = true
+	s.Renewing = renewing
 	return true
 }
 
+// turn returns how much longer than MaxAge a daemon of the given rank waits.
+func (s *State) turn(rank int) time.Duration {
+	if rank <= orderedRanks {
+		return time.Duration(rank) * rankDelay
+	}
+	late := min(maxLateDelay, time.Duration(rank-orderedRanks)*lateRankDelay)
+	return orderedRanks*rankDelay + time.Duration(s.lateShare*float64(late))
+}
+
 // isReader reports whether this daemon is the one that reads: it has read lately, and none with a lower rank has.
 func (s *State) isReader(now time.Time) bool {
 	return now.Sub(s.OwnReadAt) < MaxAge && now.Sub(s.LowerRankReadAt) >= MaxAge
@@ -94,16 +117,18 @@
 		return
 	}
 	s.Failures = 0
-	s.OwnReadAt = now
 	s.FreshAt = now
+	if s.Renewing {
+		s.OwnReadAt = now
+	}
 	s.DueAt = now.Add(readGap)
 	if starting {
 		s.DueAt = now.Add(startupReadGap)
 	}
 }
 
-// Heard records the report of a peer all of whose changes this daemon has. The flag lowerRank says that the peer has a
-// lower rank and so reads before this daemon.
+// Heard records a report of knowledge all of which this daemon has. The flag lowerRank says that its reader has a lower
+// rank and so reads before this daemon.
 func (s *State) Heard(now time.Time, reported Freshness, lowerRank bool) {
 	if lowerRank && reported.Reader != "" {
 		s.LowerRankReadAt = now
