Bound what daemons send each other at a start and after crashes

Ruled out: bodies of calls; passing evidence on only on request, which a daemon that does not know of a crash cannot make.

Change: a daemon that is not listed reports nothing. New evidence goes into 16 messages, as notices of leaving do, then one entry a message at random. A daemon that the platform alone has made ready asks two peers for all notices and evidence, since it no longer gets them with each message.

--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -147,22 +147,28 @@
 		s.startLeaving()
 		s.rebuild()
 	}
-	s.updateReady(now)
+	effects = append(effects, s.updateReady(now)...)
 	return append(effects, s.announce(now)...)
 }
 
-// updateReady notes when the daemon becomes ready. Others that knew its predecessor to be stopping learn at once that
-// its upstream takes work again.
-func (s *State) updateReady(now time.Time) {
-	if s.Start.updateReady(now, s.Config.Complete) {
-		s.Gossip.QueueAnnouncement(gossip.UrgentFanOut)
+// updateReady notes when the daemon becomes ready. It announces itself, so that others that knew its predecessor to be
+// stopping learn at once that its upstream takes work again. One that the platform alone has made ready asks for the
+// notices and the evidence that its predecessor knew.
+func (s *State) updateReady(now time.Time) []Effect {
+	if !s.Start.updateReady(now, s.Config.Complete) {
+		return nil
+	}
+	s.Gossip.QueueAnnouncement(gossip.UrgentFanOut)
+	if !s.Settings.Leased {
+		return nil
 	}
+	return s.askDigests(now, s.Members.Choose(now, readyAsks, false, s.Settings.Random))
 }
 
 // Tick implements loop.Machine.
 func (s *State) Tick(now time.Time, suspended time.Duration) []Effect {
 	effects := s.checkPause(now, suspended)
-	s.updateReady(now)
+	effects = append(effects, s.updateReady(now)...)
 	if s.Expired.endGrace(now) {
 		s.rebuild()
 	}
@@ -204,6 +210,7 @@
 func (s *State) changesRead(now time.Time, e ChangesRead) []Effect {
 	current := !e.Failed && e.Delta.Revision >= s.Config.Complete
 	before := s.Config.Complete
+	reports := s.Settings.Leased && current && s.Lease.Renewing && s.isListed()
 	s.readEnded(now, current)
 	if e.Failed {
 		return nil
@@ -213,7 +220,7 @@
 	s.Reported.Revision = s.Config.Complete
 	s.Reported.ByReader = s.Config.Complete
 	s.Start.platformRead(s.Members.Addresses())
-	if !s.Settings.Leased || !current || !s.Lease.Renewing {
+	if !reports {
 		return nil
 	}
 	return s.reportRead(now, before)
--- a/core/command/daemon/reads.go
+++ b/core/command/daemon/reads.go
@@ -75,6 +75,13 @@
 	return s.starting(now) || now.Sub(s.Reported.Since) < ownReadTimeout
 }
 
+// isListed reports whether the upstream beside this daemon is listed. Others do not know of a daemon that is not, so
+// that it gets no reports; it reads for itself, and is the reader for nobody.
+func (s *State) isListed() bool {
+	_, listed := s.listed[s.self.Name]
+	return listed
+}
+
 // readRank returns how many daemons read before this one. Those that could not be reached lately don't count.
 func (s *State) readRank(now time.Time) int {
 	rank := 0
--- a/core/command/daemon/start.go
+++ b/core/command/daemon/start.go
@@ -22,6 +22,8 @@
 	// askInterval is the time between two rounds of requests, each to at most askPeersAtOnce peers.
 	askInterval    = 250 * time.Millisecond
 	askPeersAtOnce = 8
+	// readyAsks is how many peers a daemon that has become ready asks once more.
+	readyAsks = 2
 	// firstReadJitter randomizes the first reads of daemons of the same rank.
 	firstReadJitter = 500 * time.Millisecond
 )
@@ -124,8 +126,13 @@
 		return nil
 	}
 	s.Start.AskAt = now.Add(askInterval)
+	return s.askDigests(now, s.peersToAsk())
+}
+
+// askDigests requests the digests of peers, with which they send all notices and evidence that they have.
+func (s *State) askDigests(now time.Time, addresses []model.Address) []Effect {
 	var effects []Effect
-	for _, address := range s.peersToAsk() {
+	for _, address := range addresses {
 		message := s.message(now, address)
 		message.Want = s.newWant()
 		message.Want.DigestOnly = true
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -61,6 +61,7 @@
 	answer := s.message(now, to)
 	answer.Answers = message.Want.Nonce
 	answer.Leaves = s.Leaves.All()
+	answer.Crashes = s.Settings.Poison.Gossip(now)
 	if message.Want.DigestOnly {
 		return []Effect{SendPeer{To: to, Message: answer}}
 	}
@@ -122,7 +123,7 @@
 		Digest:  s.digest(),
 		Reads:   s.Reader.ReadsFor(now, s.Members.DomainOf(to)),
 		Leaves:  s.Leaves.NextNotices(s.Settings.Random.Int()),
-		Crashes: s.Settings.Poison.Gossip(now),
+		Crashes: s.Settings.Poison.NextEvidence(now, s.Settings.Random.Int()),
 		Fresh:   s.Lease.Report(now, s.self.Name),
 	}
 }
--- a/core/command/poison/poison.go
+++ b/core/command/poison/poison.go
@@ -22,6 +22,13 @@
 // CrashesToQuarantine is how many crashes without a success in between put a request into quarantine.
 const CrashesToQuarantine = 2
 
+const (
+	// sendsPerEntry is in how many messages a daemon passes on new evidence.
+	sendsPerEntry = 16
+	// maxNewPerMessage bounds the new evidence in one message.
+	maxNewPerMessage = 16
+)
+
 // Settings has the bounds of a Detector.
 type Settings struct {
 	// CrashLifetime is how long a crash counts towards a quarantine, and how long a quarantine lasts.
@@ -30,7 +37,7 @@
 	Fingerprints int
 	// CrashesPerFingerprint bounds the crashes remembered for one fingerprint; at least CrashesToQuarantine.
 	CrashesPerFingerprint int
-	// GossipSize bounds the entries of one gossip message.
+	// GossipSize bounds the entries in a message that passes on everything.
 	GossipSize int
 }
 
@@ -90,6 +97,8 @@
 	crash   Crash
 	cleared bool
 	until   time.Time
+	// sendsLeft is in how many more messages the record is passed on as new.
+	sendsLeft int
 }
 
 // New returns an empty Detector.
@@ -117,7 +126,10 @@
 	defer d.mu.Unlock()
 	records := d.suspects[fingerprint]
 	for i := range records {
-		records[i].cleared = true
+		if !records[i].cleared {
+			records[i].cleared = true
+			records[i].sendsLeft = sendsPerEntry
+		}
 	}
 }
 
@@ -138,21 +150,58 @@
 	return changed
 }
 
-// Gossip returns the newest evidence for peers, at most GossipSize entries.
+// Gossip returns the newest evidence for a peer that may lack all of it, at most GossipSize entries.
 func (d *Detector) Gossip(now time.Time) []Evidence {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.sweep(now)
 	var entries []Evidence
+	for _, passed := range d.passedOn(now) {
+		entries = append(entries, passed.evidence)
+	}
+	return entries[:min(len(entries), d.settings.GossipSize)]
+}
+
+// NextEvidence returns the evidence for the next message: what is new, or one other entry if nothing is. The caller
+// chooses start at random.
+func (d *Detector) NextEvidence(now time.Time, start int) []Evidence {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	passed := d.passedOn(now)
+	if len(passed) == 0 {
+		return nil
+	}
+	var entries []Evidence
+	for _, p := range passed {
+		if p.record.sendsLeft > 0 && len(entries) < maxNewPerMessage {
+			p.record.sendsLeft--
+			entries = append(entries, p.evidence)
+		}
+	}
+	if len(entries) == 0 {
+		return []Evidence{passed[start%len(passed)].evidence}
+	}
+	return entries
+}
+
+// passed is a record that gossip passes on, with its encoding for peers.
+type passed struct {
+	record   *record
+	evidence Evidence
+}
+
+// passedOn returns the records that gossip still passes on, the newest first. The caller holds the lock.
+func (d *Detector) passedOn(now time.Time) []passed {
+	d.sweep(now)
+	var all []passed
 	for fingerprint, records := range d.suspects {
-		for _, r := range records {
-			if now.Sub(r.until) < d.settings.CrashLifetime {
-				entries = append(entries, evidence(now, fingerprint, r))
+		for i := range records {
+			if now.Sub(records[i].until) < d.settings.CrashLifetime {
+				all = append(all, passed{record: &records[i], evidence: evidence(now, fingerprint, records[i])})
 			}
 		}
 	}
-	slices.SortFunc(entries, newestFirst)
-	return entries[:min(len(entries), d.settings.GossipSize)]
+	slices.SortFunc(all, func(a, b passed) int { return newestFirst(a.evidence, b.evidence) })
+	return all
 }
 
 // Quarantined returns the fingerprints that must not run, with the end of their quarantine.
@@ -210,14 +259,18 @@
 	records, known := d.suspects[fingerprint]
 	for i := range records {
 		if records[i].crash == added.crash {
-			changed := added.cleared && !records[i].cleared
-			records[i].cleared = records[i].cleared || added.cleared
-			return changed
+			if !added.cleared || records[i].cleared {
+				return false
+			}
+			records[i].cleared = true
+			records[i].sendsLeft = sendsPerEntry
+			return true
 		}
 	}
 	if !known && len(d.suspects) >= d.settings.Fingerprints {
 		d.evict(now)
 	}
+	added.sendsLeft = sendsPerEntry
 	records = append(records, added)
 	if len(records) > d.settings.CrashesPerFingerprint {
 		records = records[1:]
--- a/core/command/poison/poison_test.go
+++ b/core/command/poison/poison_test.go
@@ -123,6 +123,37 @@
 	qt.Assert(t, a.Size()+b.Size(), qt.Equals, 0)
 }
 
+// TestNewEvidenceIsPassedOnFirst checks that evidence is in a bounded number of messages while it is new, and that each
+// later message repeats one entry only.
+func TestNewEvidenceIsPassedOnFirst(t *testing.T) {
+	detector := poison.New(poison.DefaultSettings())
+	qt.Assert(t, detector.NextEvidence(start, 0), qt.HasLen, 0)
+	inFlight := make([]model.Fingerprint, 10)
+	for i := range inFlight {
+		inFlight[i] = model.Fingerprint(i + 1)
+	}
+	detector.Crashed(start, "reservas-0", 1, inFlight)
+	tests := []struct {
+		name     string
+		messages int
+		want     int
+	}{
+		{name: "new", messages: 16, want: 10},
+		{name: "passed on", messages: 100, want: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for i := range test.messages {
+				qt.Assert(t, detector.NextEvidence(start, i), qt.HasLen, test.want)
+			}
+		})
+	}
+	detector.Succeeded(3)
+	qt.Assert(t, detector.NextEvidence(start, 0), qt.HasLen, 1)
+	qt.Assert(t, detector.NextEvidence(start, 0)[0].Cleared, qt.IsTrue)
+	qt.Assert(t, detector.Gossip(start), qt.HasLen, 10)
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	settings := poison.Settings{CrashLifetime: time.Minute, Fingerprints: 50, CrashesPerFingerprint: 3, GossipSize: 8}
 	detector := poison.New(settings)
