--- a/cftd/start/control.go
+++ b/cftd/start/control.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,6 +20,7 @@
 	"comfreytack/cftd/talk"
 	"comfreytack/core/command/daemon"
 	"comfreytack/core/command/poison"
+	"comfreytack/core/field"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/setup"
@@ -29,13 +32,14 @@
 	network *peers.Network
 	reads   PlatformReader
 	probe   *health.Probe
+	log     *slog.Logger
 	ctx     context.Context
 }
 
 func newControlPlane[D talk.Dialect](
 	front Front[D], settings setup.Settings, self model.Upstream, detector *poison.Detector, suspended func() time.Duration, log *slog.Logger,
 ) *controlPlane {
-	c := &controlPlane{}
+	c := &controlPlane{log: log}
 	state := daemon.New(daemon.Settings{
 		Self:   self,
 		Seeds:  settings.Seeds,
@@ -45,7 +49,7 @@
 
 		Leased: front.Leased,
 	}, time.Now())
-	c.loop = loop.New(loop.Settings{TickInterval: tickInterval, Backlog: eventBacklog, Now: time.Now, Suspended: suspended, Changed: logChanges(log)}, state, c.perform)
+	c.loop = loop.New(loop.Settings{TickInterval: tickInterval, Backlog: eventBacklog, Now: time.Now, Suspended: suspended, Changed: logChanges(log), Panicked: c.logPanic}, state, c.perform)
 	c.network = peers.New(peers.Settings{Post: c.loop.Post, Log: log})
 	c.reads = front.PlatformReader(ReaderSettings{Settings: settings, Post: c.loop.Post, Log: log})
 	if front.ProbeUpstream {
@@ -63,6 +67,7 @@
 		read func() uint64
 	}{
 		{"comfreytack_control_events_dropped_total", "Events that found the control goroutine's backlog full.", c.loop.Dropped},
+		{"comfreytack_control_panics_total", "Panics of the control goroutine that were contained to one event.", c.loop.Contained},
 		{"comfreytack_platform_reads_total", "Reads of the platform.", func() uint64 { reads, _ := c.reads.Counts(); return reads }},
 		{"comfreytack_platform_read_failures_total", "Reads of the platform without a usable answer.", func() uint64 { _, failures := c.reads.Counts(); return failures }},
 		{"comfreytack_peer_messages_sent_total", "Control messages sent to other daemons.", traffic.MessagesOut.Load},
@@ -94,6 +99,25 @@
 	case daemon.SendPeer:
 		c.network.Send(e)
 	case daemon.ReadPlatform:
-		go c.reads.Read(c.ctx, e)
+		go c.read(e)
 	}
 }
+
+// read reads the platform. A panic, as an entry that nobody expected may cause, counts as a failed read.
+func (c *controlPlane) read(read daemon.ReadPlatform) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.logPanic(cause)
+			// Without the event the control state would start no other read.
+			for c.ctx.Err() == nil && !c.loop.Post(daemon.ChangesRead{Failed: true}) {
+				time.Sleep(tickInterval)
+			}
+		}
+	}()
+	c.reads.Read(c.ctx, read)
+}
+
+// logPanic logs the cause and the stack of a contained panic.
+func (c *controlPlane) logPanic(cause any) {
+	c.log.Error("panic contained", field.Error, fmt.Sprint(cause), "stack", string(debug.Stack()))
+}
--- a/core/command/daemon/listed.go
+++ b/core/command/daemon/listed.go
@@ -59,7 +59,8 @@
 }
 
 // withInstances adds two things to the services that are published with their upstreams: the services of the
-// document, and the upstreams that are published one by one. Of several instances of one name the newest counts.
+// document, and the upstreams that are published one by one. Of several instances of one name the newest counts. An
+// instance of a service that nobody has named counts for nothing: another writer may have left it.
 func withInstances(
 	services map[model.ServiceName]model.Service, document model.Document, instances map[model.InstanceID]model.Upstream,
 ) map[model.ServiceName]model.Service {
@@ -70,11 +71,12 @@
 		service.HealthPath = named.HealthPath
 		services[named.Name] = service
 	}
-	for _, upstream := range newestInstances(instances) {
-		service, known := services[upstream.Service]
-		if !known {
-			continue
-		}
+	known := func(upstream model.Upstream) bool {
+		_, named := services[upstream.Service]
+		return named
+	}
+	for _, upstream := range newestInstances(instances, known) {
+		service := services[upstream.Service]
 		service.Slots = max(service.Slots, upstream.Slots)
 		service.Upstreams = append(slices.Clip(service.Upstreams), upstream)
 		services[upstream.Service] = service
@@ -82,10 +84,13 @@
 	return services
 }
 
-// newestInstances returns the newest instance of each upstream name, ordered by name.
-func newestInstances(instances map[model.InstanceID]model.Upstream) []model.Upstream {
+// newestInstances returns the newest instance of each upstream name among those that count, ordered by name.
+func newestInstances(instances map[model.InstanceID]model.Upstream, counts func(model.Upstream) bool) []model.Upstream {
 	latest := map[model.UpstreamName]model.Upstream{}
 	for _, upstream := range instances {
+		if !counts(upstream) {
+			continue
+		}
 		known, found := latest[upstream.Name]
 		if !found || newerInstance(upstream, known) {
 			latest[upstream.Name] = upstream
--- a/core/command/daemon/listed_test.go
+++ b/core/command/daemon/listed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -85,6 +86,12 @@
 	return published("instances/"+string(id), string(encoded))
 }
 
+// ofService returns the change of an instance with another service.
+func ofService(service string, change model.Change) model.Change {
+	change.Value = []byte(strings.Replace(string(change.Value), `"reservas"`, strconv.Quote(service), 1))
+	return change
+}
+
 func deletion(id model.InstanceID) model.Change { return published("instances/"+string(id), "") }
 
 func TestListedInstances(t *testing.T) {
@@ -99,6 +106,7 @@
 		{name: "a newer instance of the same name", changes: []model.Change{instance("i-1", 1, 10, 1, model.Leaving), instance("i-9", 1, 20, 1, model.Live)}, want: []model.InstanceID{"i-9"}},
 		{name: "the older instance is listed last", changes: []model.Change{instance("i-9", 1, 20, 1, model.Live), instance("i-1", 1, 10, 1, model.Leaving)}, want: []model.InstanceID{"i-9"}},
 		{name: "an older entry of the same incarnation arrives late", changes: []model.Change{instance("i-1", 1, 10, 7, model.Leaving), instance("i-1", 1, 10, 4, model.Live)}, want: []model.InstanceID{}},
+		{name: "an entry of another writer has a service that nobody named", changes: []model.Change{instance("i-1", 1, 10, 1, model.Live), ofService("colours", instance("i-9", 1, 99, 1, model.Live))}, want: []model.InstanceID{"i-1"}},
 		{name: "an entry of an earlier incarnation arrives late", changes: []model.Change{instance("i-1", 1, 20, 1, model.Live), instance("i-1", 1, 10, 9, model.Leaving)}, want: []model.InstanceID{"i-1"}},
 		{name: "an older document", changes: []model.Change{instance("i-1", 1, 10, 1, model.Live), published("document", fmt.Sprintf(listedDocument, 3)), published("document", `{"version":2}`)}, want: []model.InstanceID{"i-1"}},
 	}
--- a/core/command/lease/lease.go
+++ b/core/command/lease/lease.go
@@ -156,8 +156,13 @@
 // ReportEndsOutage reports whether a peer's report ends an outage.
 func (s *State) ReportEndsOutage(now time.Time, r Freshness) bool { return s.EndsOutage(r.at(now)) }
 
+// maxAge bounds the ages that are believed; knowledge of that age is as good as none.
+const maxAge = time.Hour
+
+// at returns the time of the knowledge. A malformed age counts as the nearest possible one.
 func (f Freshness) at(now time.Time) time.Time {
-	return now.Add(-time.Duration(f.AgeMs) * time.Millisecond)
+	ageMs := min(max(f.AgeMs, 0), maxAge.Milliseconds())
+	return now.Add(-time.Duration(ageMs) * time.Millisecond)
 }
 
 // Report returns what to report to peers, or nil before the first read. The daemon self is named as the reader when the
--- a/core/command/lease/lease_test.go
+++ b/core/command/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -68,6 +69,29 @@
 	}
 }
 
+// TestOddAges checks that a report with an impossible age does not count as knowledge from the future, which would keep
+// the daemon from reading, nor as none.
+func TestOddAges(t *testing.T) {
+	tests := []struct {
+		name string
+		age  int64
+	}{
+		{name: "negative", age: -1_000_000},
+		{name: "the least number", age: math.MinInt64},
+		{name: "too large for a time", age: math.MaxInt64},
+		{name: "wraps around to the future", age: math.MaxInt64/1_000_000 + 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := lease.New(rand.New(rand.NewPCG(1, 1)))
+			s.Heard(start, lease.Freshness{}, false)
+			s.Heard(start.Add(ms), lease.Freshness{AgeMs: test.age, Reader: "s-1"}, false)
+			qt.Assert(t, s.FreshAt.After(start.Add(ms)), qt.IsFalse)
+			qt.Assert(t, s.TryStart(start.Add(2*time.Second), 0, false), qt.IsTrue)
+		})
+	}
+}
+
 func TestOutageEnds(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/core/loop/loop.go
+++ b/core/loop/loop.go
@@ -37,6 +37,9 @@
 	// Changed, if not nil, is called by the control goroutine after each snapshot that replaces another. It must
 	// not block.
 	Changed func(before, after *model.Snapshot)
+	// Panicked, if not nil, is called by the control goroutine, in the panicking stack, with the cause of each panic that
+	// was contained. It must not block.
+	Panicked func(cause any)
 }
 
 // Loop owns a Machine. E is the type of its events and F the type of its effects.
@@ -47,6 +50,8 @@
 	events   chan E
 	current  atomic.Pointer[model.Snapshot]
 	dropped  atomic.Uint64
+	// contained counts the panics that were contained.
+	contained atomic.Uint64
 }
 
 // New returns a loop that has not started. The function perform carries out one effect and must not block.
@@ -92,6 +97,11 @@
 	}
 }
 
+// Contained returns how many panics were contained.
+func (l *Loop[E, F]) Contained() uint64 {
+	return l.contained.Load()
+}
+
 // Dropped returns how many events were dropped because the backlog was full.
 func (l *Loop[E, F]) Dropped() uint64 {
 	return l.dropped.Load()
@@ -107,16 +117,32 @@
 		case <-ctx.Done():
 			return
 		case event := <-l.events:
-			l.publish(l.machine.Apply(l.settings.Now(), event))
+			l.publish(l.contain(func() []F { return l.machine.Apply(l.settings.Now(), event) }))
 		case <-ticker.C:
 			suspended := l.suspended()
-			effects := l.machine.Tick(l.settings.Now(), suspended-last)
+			sinceLast := suspended - last
 			last = suspended
-			l.publish(effects)
+			l.publish(l.contain(func() []F { return l.machine.Tick(l.settings.Now(), sinceLast) }))
 		}
 	}
 }
 
+// contain calls a method of the Machine. A panic, as a malformed event may cause, ends the handling of that event only:
+// a daemon that goes on with what it has learnt before serves its callers, and one that ends does not.
+func (l *Loop[E, F]) contain(step func() []F) (effects []F) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		l.contained.Add(1)
+		if l.settings.Panicked != nil {
+			l.settings.Panicked(cause)
+		}
+	}()
+	return step()
+}
+
 // publish publishes the new snapshot before it performs the effects, so that whatever an effect triggers already
 // sees the new state.
 func (l *Loop[E, F]) publish(effects []F) {
--- a/core/loop/loop_test.go
+++ b/core/loop/loop_test.go
@@ -19,7 +19,10 @@
 	suspended []time.Duration
 }
 
-func (c *counter) Apply(time.Time, string) []model.Revision {
+func (c *counter) Apply(_ time.Time, event string) []model.Revision {
+	if event == malformed {
+		panic(event)
+	}
 	c.revision++
 	return []model.Revision{c.revision}
 }
@@ -33,6 +36,44 @@
 	return &model.Snapshot{Revision: c.revision, PublishedAt: now}
 }
 
+// malformed is an event that the counter cannot handle.
+const malformed = "malformed"
+
+// TestPanicsAreContained checks that an event which makes the Machine panic ends neither the process nor the loop: it
+// changes nothing, and the events after it are handled.
+func TestPanicsAreContained(t *testing.T) {
+	tests := []struct {
+		name          string
+		events        []string
+		wantRevision  model.Revision
+		wantContained uint64
+	}{
+		{name: "none", events: []string{"a", "b"}, wantRevision: 2},
+		{name: "one", events: []string{"a", malformed, "b"}, wantRevision: 2, wantContained: 1},
+		{name: "again and again", events: []string{malformed, malformed, malformed, "a"}, wantRevision: 1, wantContained: 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var causes []any
+				l := loop.New(loop.Settings{
+					TickInterval: time.Second, Backlog: len(test.events), Now: time.Now,
+					Panicked: func(cause any) { causes = append(causes, cause) },
+				}, &counter{}, func(model.Revision) {})
+				for _, event := range test.events {
+					qt.Assert(t, l.Post(event), qt.IsTrue)
+				}
+				ctx, stop := context.WithTimeout(context.Background(), 500*time.Millisecond)
+				defer stop()
+				l.Run(ctx)
+				qt.Assert(t, l.Snapshot().Revision, qt.Equals, test.wantRevision)
+				qt.Assert(t, l.Contained(), qt.Equals, test.wantContained)
+				qt.Assert(t, causes, qt.HasLen, int(test.wantContained))
+			})
+		})
+	}
+}
+
 func TestRun(t *testing.T) {
 	tests := []struct {
 		name         string
