Send no new calls to a gate that gives no sign of life

The latency of calls that time out is known only after their deadlines, 1 to 3 s.

Ruled out: ejecting after a time without answers, which also hits slow servers with few calls; ending or repeating the calls there, since a machine that is only silent goes on working.

Change: a gate with calls in flight and no sign of life for 200 ms, or twice its mean latency, is checked by a probe of 250 ms. If it does not answer, it gets no calls until it is heard, while another upstream does. Checks run beside each other, at most eight, apart from the load probes.

--- a/cftd/poll/poll.go
+++ b/cftd/poll/poll.go
@@ -1,4 +1,5 @@
-// Package poll probes other daemons' gates for their load when no answer to a call has reported it lately.
+// Package poll probes other daemons' gates: for their load when no answer to a call has reported it lately, and for a
+// sign of life when calls there take longer than usual.
 package poll
 
 import (
@@ -6,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"comfreytack/cftd/meter"
 	"comfreytack/core/command/load"
 	"comfreytack/core/command/probe"
@@ -16,8 +19,11 @@
 const (
 	// interval is the time between two checks of the probe budget.
 	interval = 100 * time.Millisecond
-	// probeTimeout bounds one probe; the load that a later answer reported would be of little use.
+	// probeTimeout bounds one probe; the load that a later answer reported would be of little use, and a gate that takes
+	// longer for a sign of life is better avoided.
 	probeTimeout = 250 * time.Millisecond
+	// maxChecks bounds the checks for a sign of life at the same time.
+	maxChecks = 8
 )
 
 // Settings has the explicit dependencies of a prober.
@@ -43,14 +49,17 @@
 	settings Settings
 	// swept is the revision of the configuration for which sweep last ran.
 	swept model.Revision
+	// checks limits the checks for a sign of life.
+	checks *semaphore.Weighted
 }
 
 // New returns a prober.
 func New(settings Settings) *Prober {
-	return &Prober{settings: settings}
+	return &Prober{settings: settings, checks: semaphore.NewWeighted(maxChecks)}
 }
 
-// Run sends probes, one at a time, until ctx ends.
+// Run sends probes until ctx ends: load probes one at a time, and checks for a sign of life beside each other, because
+// each one that fails takes its whole timeout.
 func (p *Prober) Run(ctx context.Context) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -60,6 +69,7 @@
 			return
 		case <-ticker.C:
 			p.sweep()
+			p.checkGates(ctx)
 			p.sendProbes(ctx)
 		}
 	}
@@ -79,6 +89,24 @@
 	})
 }
 
+// checkGates checks the gates that have given no sign of life for longer than usual. A check that the limit does not
+// allow is due again later.
+func (p *Prober) checkGates(ctx context.Context) {
+	for _, upstream := range p.settings.Tracker.GatesToCheck(p.settings.Now()) {
+		if !p.checks.TryAcquire(1) {
+			return
+		}
+		p.settings.Meter.Probes.Inc()
+		go func() {
+			defer p.checks.Release(1)
+			sentAt := p.settings.Now()
+			if !p.probeGate(ctx, upstream.Gate) && ctx.Err() == nil {
+				p.settings.Tracker.CheckFailed(sentAt, upstream.Name)
+			}
+		}()
+	}
+}
+
 // sendProbes sends as many probes as the budget grants now.
 func (p *Prober) sendProbes(ctx context.Context) {
 	addresses := p.setCandidates()
@@ -106,17 +134,18 @@
 	return addresses
 }
 
-func (p *Prober) probeGate(ctx context.Context, address model.Address) {
+// probeGate asks a gate for its load and reports whether it answered.
+func (p *Prober) probeGate(ctx context.Context, address model.Address) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(address)+"/", nil)
 	if err != nil {
-		return
+		return false
 	}
 	request.Header.Set(wire.HeaderProbe, "1")
 	answer, err := p.settings.Transport.RoundTrip(request)
 	if err != nil {
-		return
+		return false
 	}
 	_ = answer.Body.Close()
 	if report, known := wire.ReadReport(answer.Header); known {
@@ -124,4 +153,5 @@
 		p.settings.Tracker.Reported(now, report)
 		p.settings.Budget.ReportReceived(now, report.Upstream)
 	}
+	return true
 }
--- a/core/command/load/load.go
+++ b/core/command/load/load.go
@@ -30,6 +30,10 @@
 	FirstEjection time.Duration
 	// LongestEjection bounds the length of an ejection.
 	LongestEjection time.Duration
+	// SilenceAfter is how long a gate with calls in flight may give no sign of life before it is checked, if its calls do
+	// not take longer anyway. CheckInterval is the time between two checks of one gate.
+	SilenceAfter  time.Duration
+	CheckInterval time.Duration
 }
 
 // DefaultSettings returns the settings that a daemon uses.
@@ -40,6 +44,8 @@
 		FailuresInRow:   5,
 		FirstEjection:   500 * time.Millisecond,
 		LongestEjection: 20 * time.Second,
+		SilenceAfter:    200 * time.Millisecond,
+		CheckInterval:   250 * time.Millisecond,
 	}
 }
 
@@ -88,10 +94,10 @@
 }
 
 // Began counts a call that is about to be sent.
-func (t *Tracker) Began(upstream model.UpstreamName) Call {
+func (t *Tracker) Began(now time.Time, upstream model.UpstreamName) Call {
 	s, known := t.table.Load().byName[upstream]
 	if known {
-		s.began()
+		s.began(now)
 	}
 	return Call{Upstream: upstream, stats: s}
 }
@@ -137,7 +143,30 @@
 		candidate.Near = m.near
 		into = append(into, candidate)
 	}
-	return into
+	return route.WithoutSilent(into)
+}
+
+// GatesToCheck returns the upstreams whose gates are to be checked now: those with calls in flight that have given no sign
+// of life for longer than usual, and those that are silent. A frozen or cut off machine keeps its connections open, so
+// that only such a check tells it from slow work.
+func (t *Tracker) GatesToCheck(now time.Time) []model.Upstream {
+	var due []model.Upstream
+	for _, g := range t.table.Load().groups {
+		for _, m := range g.members {
+			if m.upstream.Name != t.self.Name && m.stats.checkDue(now, &t.settings) {
+				due = append(due, m.upstream)
+			}
+		}
+	}
+	return due
+}
+
+// CheckFailed records that the gate of an upstream did not answer a check that was sent at the given time. It gets no
+// calls until it is heard again, as long as another upstream does. What runs there goes on.
+func (t *Tracker) CheckFailed(sentAt time.Time, upstream model.UpstreamName) {
+	if s, known := t.table.Load().byName[upstream]; known {
+		s.checkFailed(sentAt)
+	}
 }
 
 // Retain keeps only the services for which keep returns true.
--- a/core/command/load/load_test.go
+++ b/core/command/load/load_test.go
@@ -67,7 +67,7 @@
 			switch rapid.IntRange(0, 3).Draw(t, "action") {
 			case 0, 1:
 				chosen := rapid.SampledFrom(candidates).Draw(t, "upstream").Upstream.Name
-				open = append(open, tracker.Began(chosen))
+				open = append(open, tracker.Began(start, chosen))
 				counts[chosen]++
 			case 2:
 				if len(open) > 0 {
@@ -160,7 +160,7 @@
 		{
 			name: "a later incarnation starts anew and ignores the earlier one",
 			act: func(l *load.Tracker) {
-				l.Began(name)
+				l.Began(start, name)
 				repeat(l, 5, fail)
 				l.Reported(start.Add(time.Second), model.GateReport{Upstream: name, Incarnation: 2, Slots: 10})
 				l.Reported(start.Add(2*time.Second), model.GateReport{Upstream: name, Incarnation: 1, Slots: 99})
@@ -219,7 +219,7 @@
 
 func repeat(tracker *load.Tracker, times int, outcome load.Outcome) {
 	for range times {
-		tracker.Ended(start, tracker.Began("reservas-0"), outcome)
+		tracker.Ended(start, tracker.Began(start, "reservas-0"), outcome)
 	}
 }
 
@@ -237,7 +237,7 @@
 				for b.Loop() {
 					buffer = tracker.Candidates(start, service, list, buffer)
 					picked, _ := picker.Pick(start, random, buffer)
-					call := tracker.Began(picked.Upstream.Name)
+					call := tracker.Began(start, picked.Upstream.Name)
 					tracker.Ended(start, call, load.Outcome{Result: load.Answered, Latency: time.Millisecond})
 				}
 			})
@@ -257,8 +257,84 @@
 		for pb.Next() {
 			buffer = tracker.Candidates(start, service, list, buffer)
 			picked, _ := picker.Pick(start, random, buffer)
-			call := tracker.Began(picked.Upstream.Name)
+			call := tracker.Began(start, picked.Upstream.Name)
 			tracker.Ended(start, call, load.Outcome{Result: load.Answered, Latency: time.Millisecond})
 		}
 	})
 }
+
+// TestSilentGates checks when the gate of an upstream is checked for a sign of life, and when it gets no calls: only
+// after a check that it has not answered, and only while another upstream does.
+func TestSilentGates(t *testing.T) {
+	const name, other = model.UpstreamName("reservas-1"), model.UpstreamName("reservas-2")
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	answer := load.Outcome{Result: load.Answered, Latency: 300 * time.Millisecond}
+	tests := []struct {
+		name string
+		act  func(*load.Tracker)
+		// wantDue says that the gate is to be checked 500 ms after the start, wantSilent that it gets no calls then.
+		wantDue    bool
+		wantSilent bool
+	}{
+		{name: "no call", act: func(*load.Tracker) {}},
+		{name: "a call that has just begun", act: func(l *load.Tracker) { l.Began(at(400), name) }},
+		{name: "a call that takes long", act: func(l *load.Tracker) { l.Began(at(0), name) }, wantDue: true},
+		{name: "as long as usual", act: func(l *load.Tracker) {
+			l.Ended(at(-1000), l.Began(at(-1300), name), answer)
+			l.Began(at(0), name)
+		}},
+		{name: "another call was answered meanwhile", act: func(l *load.Tracker) {
+			l.Began(at(0), name)
+			l.Ended(at(400), l.Began(at(100), name), load.Outcome{Result: load.Refused})
+		}},
+		{name: "its caller has left", act: func(l *load.Tracker) {
+			l.Ended(at(100), l.Began(at(0), name), load.Outcome{Result: load.Unrelated})
+		}},
+		{name: "the check is under way", act: func(l *load.Tracker) {
+			l.Began(at(0), name)
+			l.GatesToCheck(at(300))
+		}},
+		{name: "the check failed", act: func(l *load.Tracker) {
+			l.Began(at(0), name)
+			l.GatesToCheck(at(200))
+			l.CheckFailed(at(200), name)
+		}, wantDue: true, wantSilent: true},
+		{name: "it answered a call while it was checked", act: func(l *load.Tracker) {
+			l.Ended(at(300), l.Began(at(0), name), answer)
+			l.CheckFailed(at(200), name)
+		}},
+		{name: "it was heard again", act: func(l *load.Tracker) {
+			l.Began(at(0), name)
+			l.CheckFailed(at(200), name)
+			l.Reported(at(450), model.GateReport{Upstream: name, Incarnation: 1})
+		}},
+		{name: "all are silent", act: func(l *load.Tracker) {
+			for _, upstream := range fleet(3) {
+				l.Began(at(0), upstream.Name)
+				l.CheckFailed(at(200), upstream.Name)
+			}
+		}, wantDue: true},
+		{name: "another one is silent", act: func(l *load.Tracker) {
+			l.Began(at(0), other)
+			l.CheckFailed(at(200), other)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tracker := load.New(model.Upstream{Name: "self"}, load.DefaultSettings())
+			upstreams := fleet(3)
+			tracker.Candidates(at(-2000), service, upstreams, nil)
+			test.act(tracker)
+			due := false
+			for _, upstream := range tracker.GatesToCheck(at(500)) {
+				due = due || upstream.Name == name
+			}
+			qt.Check(t, due, qt.Equals, test.wantDue)
+			silent := true
+			for _, candidate := range tracker.Candidates(at(500), service, upstreams, nil) {
+				silent = silent && candidate.Upstream.Name != name
+			}
+			qt.Check(t, silent, qt.Equals, test.wantSilent)
+		})
+	}
+}
--- a/core/command/load/stats.go
+++ b/core/command/load/stats.go
@@ -67,6 +67,8 @@
 	failureHalfLife = 2 * time.Second
 	// minWarmth is the share of a full load at which the slow start of a new incarnation begins.
 	minWarmth = 0.1
+	// silenceFactor is how many times its mean latency a gate may take without a sign of life before it is checked.
+	silenceFactor = 2
 	// maxDoublings bounds how often the length of an ejection doubles.
 	maxDoublings = 10
 )
@@ -90,14 +92,50 @@
 	failuresInRow    int
 	ejections        int
 	ejectedUntil     time.Time
+	// unheardSince is since when calls are in flight without any sign of life of the gate; zero when none is in flight.
+	unheardSince time.Time
+	// checkedAt is when the gate was last to be checked, and silent that it did not answer.
+	checkedAt time.Time
+	silent    bool
 }
 
-func (s *stats) began() {
+func (s *stats) began(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.inFlight == 0 {
+		s.unheardSince = now
+	}
 	s.inFlight++
 }
 
+// heard records a sign of life of the gate. The caller holds the lock.
+func (s *stats) heard(now time.Time) {
+	s.silent = false
+	s.unheardSince = now
+}
+
+// checkDue reports whether the gate is to be checked now, and if so records that it is.
+func (s *stats) checkDue(now time.Time, settings *Settings) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	patience := max(settings.SilenceAfter, silenceFactor*s.latency)
+	suspect := s.silent || (s.inFlight > 0 && now.Sub(s.unheardSince) >= patience)
+	if !suspect || now.Sub(s.checkedAt) < settings.CheckInterval {
+		return false
+	}
+	s.checkedAt = now
+	return true
+}
+
+// checkFailed records that the gate did not answer a check, unless it has been heard since the check was sent.
+func (s *stats) checkFailed(sentAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unheardSince.Before(sentAt) {
+		s.silent = true
+	}
+}
+
 func (s *stats) busy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,6 +146,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
+	if outcome.Result == Answered || outcome.Result == Refused {
+		s.heard(now)
+	}
 	switch outcome.Result {
 	case Answered:
 		s.answered(now, outcome, settings)
@@ -180,6 +221,7 @@
 	if madeAt.Before(s.reportAt) {
 		return
 	}
+	s.heard(madeAt)
 	s.report = report
 	s.reportAt = madeAt
 	s.inFlightAtReport = s.inFlight
@@ -199,6 +241,7 @@
 		Failing:          s.currentFailureShare(now),
 		EjectedUntil:     s.ejectedUntil,
 		Warmth:           s.warmth(now, settings.Ramp),
+		Silent:           s.silent,
 	}, !s.report.Leaving
 }
 
--- a/core/query/route/model_test.go
+++ b/core/query/route/model_test.go
@@ -289,7 +289,7 @@
 	c.tried = append(c.tried, upstream.Name)
 	c.state.Attempts++
 	c.state.Untried = modelServers - len(c.tried)
-	a := &attempt{call: c, daemon: d, server: s, loadCall: d.tracker.Began(upstream.Name), sentAt: w.now}
+	a := &attempt{call: c, daemon: d, server: s, loadCall: d.tracker.Began(w.time(), upstream.Name), sentAt: w.now}
 	c.open = append(c.open, a)
 	w.after(oneWay(d, s), func() { w.atGate(a) })
 	d.probeBudget.Sent()
--- a/core/query/route/route.go
+++ b/core/query/route/route.go
@@ -34,6 +34,8 @@
 	Failing float64
 	// EjectedUntil is when an ejection for consecutive failures ends; zero when there was none.
 	EjectedUntil time.Time
+	// Silent is true when the upstream's gate did not answer a check and has not been heard since.
+	Silent bool
 	// Warmth is the share of a full load that a new incarnation may take, above 0 and up to 1.
 	Warmth float64
 }
@@ -53,6 +55,16 @@
 	return slices.DeleteFunc(candidates, func(c Candidate) bool { return c.Overloaded(now) })
 }
 
+// WithoutSilent removes the silent candidates from the slice, in place, unless all are silent.
+func WithoutSilent(candidates []Candidate) []Candidate {
+	silent := func(c Candidate) bool { return c.Silent }
+	heard := func(c Candidate) bool { return !c.Silent }
+	if !slices.ContainsFunc(candidates, heard) {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, silent)
+}
+
 // LeastOverloaded returns the candidate that is expected to answer first when all are overloaded, or false when there
 // is none. It weighs a slowdown against the wait for a slot. Both are counted in usual work times, so the choice does
 // not depend on how long the work of this call takes:
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -186,7 +186,7 @@
 
 func attempt[P route.Policy, A any](ctx context.Context, s *Sender[P], call model.Call, upstream model.Upstream, attempter Attempter[A]) (A, *model.Failure) {
 	began := s.settings.Now()
-	counted := s.settings.Tracker.Began(upstream.Name)
+	counted := s.settings.Tracker.Began(began, upstream.Name)
 	// answeredAt is when the answer began. Latency ends there, as how fast the caller reads the answer says nothing about
 	// the upstream.
 	var answeredAt time.Time
