Let a daemon that takes over from a reader answer the others at once

Change: a read waits for a change only if the daemon is the reader already, or if the others do not know of it; such a daemon reads at an age of 1.4 s and is the reader for nobody. A whole copy leaves its differences in the log of recent changes, so that reports and answers after it are small.

Tests: TestTakeoverAnswersAtOnce and TestReportAfterWholeRead fail on the code before.

--- a/core/command/config/config.go
+++ b/core/command/config/config.go
@@ -134,6 +134,7 @@
 	for _, refusal := range source.Refusals {
 		keys[refusal.Key] = true
 	}
+	s.recordCopy(source, keys)
 	s.Contracts.retain(keys)
 	s.Services.retain(keys)
 	s.Marks.retain(keys)
@@ -142,11 +143,34 @@
 	clear(s.Refusals)
 	s.setAll(source)
 	s.Complete = source.Revision
-	s.Recent.Reset(source.Revision)
 	s.dropUnlistedMarks()
 	return Applied
 }
 
+// recordCopy records in Recent how a copy that names the given keys differs from what is in force, so that others still
+// get small deltas after it. A copy of some services only shows nothing of the others, and the first one is no change.
+func (s *Store) recordCopy(source Copy, keys map[string]bool) {
+	if len(source.Wanted) > 0 || s.Complete == 0 {
+		s.Recent.Reset(source.Revision)
+		return
+	}
+	var differences []model.Change
+	for _, change := range source.Changes {
+		if change.Revision > s.Complete {
+			differences = append(differences, change)
+		}
+	}
+	for _, change := range s.CopyFor(nil).Changes {
+		if !keys[change.Key] && !change.Deleted {
+			differences = append(differences, model.Change{Key: change.Key, Revision: source.Revision, Deleted: true})
+		}
+	}
+	sortChanges(differences)
+	for _, change := range differences {
+		s.Recent.Add(change)
+	}
+}
+
 // heal merges a copy of the same revision, the newer of each value winning. Two stores at one revision differ only
 // where one of them applied a value, and the other saw only the later value of that key, which was refused.
 func (s *Store) heal(source Copy) Outcome {
--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -179,7 +179,7 @@
 		effects = append(effects, s.sendDigest(now, s.Members.Choose(now, 1, s.Settings.Random.IntN(2) == 0, s.Settings.Random))...)
 	}
 	if s.readDue(now) {
-		effects = append(effects, ReadPlatform{After: s.Config.Complete, Wait: s.readWait()})
+		effects = append(effects, ReadPlatform{After: s.Config.Complete, Wait: s.readWait(now)})
 	}
 	return effects
 }
@@ -210,7 +210,7 @@
 func (s *State) changesRead(now time.Time, e ChangesRead) []Effect {
 	current := !e.Failed && e.Delta.Revision >= s.Config.Complete
 	before := s.Config.Complete
-	reports := s.Settings.Leased && current && s.Lease.Renewing && s.isListed()
+	reports := s.Settings.Leased && current && s.Lease.Renewing && !s.Lease.Alone
 	s.readEnded(now, current)
 	if e.Failed {
 		return nil
--- a/core/command/daemon/listed_test.go
+++ b/core/command/daemon/listed_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -28,6 +30,8 @@
 	state    *daemon.State
 	now      time.Time
 	revision model.Revision
+	// waited is how long the platform may hold the read that awaitRead saw.
+	waited time.Duration
 }
 
 func newLeasedDaemon(t *testing.T) *leasedDaemon {
@@ -169,8 +173,11 @@
 	from := l.now
 	for l.now.Sub(from) < 5*time.Second {
 		l.now = l.now.Add(10 * time.Millisecond)
-		if _, reads := requested(l.state.Tick(l.now, 0)); reads {
-			return l.now.Sub(from)
+		for _, effect := range l.state.Tick(l.now, 0) {
+			if read, ok := effect.(daemon.ReadPlatform); ok {
+				l.waited = read.Wait
+				return l.now.Sub(from)
+			}
 		}
 	}
 	l.Fatal("no read")
@@ -429,3 +436,64 @@
 	}
 	qt.Assert(t, announced, qt.DeepEquals, map[model.Address]bool{"10.1.0.2:7635": true, "10.1.0.3:7635": true})
 }
+
+// TestTakeoverAnswersAtOnce checks that a daemon which takes over from a silent reader does not wait for a change, so
+// that the others hear of its read before they start their own; as the reader it waits then.
+func TestTakeoverAnswersAtOnce(t *testing.T) {
+	l := newLeasedDaemon(t)
+	l.read(instance("i-1", 1, 10, 1, model.Live), instance("i-3", 3, 10, 1, model.Live))
+	tests := []struct {
+		name string
+		want time.Duration
+	}{
+		{name: "takes over", want: 0},
+		{name: "goes on as the reader", want: lease.Wait},
+	}
+	for i, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l.awaitRead()
+			qt.Assert(t, l.waited, qt.Equals, test.want)
+			l.answer(published("document", fmt.Sprintf(listedDocument, i+2)))
+		})
+	}
+}
+
+// TestReportAfterWholeRead checks that the report of a read which returned everything, because the platform has dropped
+// its history, carries what has changed, so that the others need not read everything too.
+func TestReportAfterWholeRead(t *testing.T) {
+	first, second, third := instance("i-1", 1, 10, 1, model.Live), instance("i-3", 3, 10, 1, model.Live), instance("i-5", 5, 10, 1, model.Live)
+	tests := []struct {
+		name  string
+		whole []model.Change
+		want  []string
+	}{
+		{name: "nothing changed", whole: []model.Change{first, second, third}},
+		{name: "one joined", whole: []model.Change{first, second, third, instance("i-4", 4, 10, 1, model.Live)}, want: []string{"instances/i-4"}},
+		{name: "one is gone", whole: []model.Change{first, second}, want: []string{"instances/i-5 deleted"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := newLeasedDaemon(t)
+			l.read(first, second, third)
+			l.awaitRead()
+			whole := []model.Change{published("document", fmt.Sprintf(listedDocument, 1))}
+			whole = append(whole, test.whole...)
+			for i := range whole {
+				whole[i].Revision = model.Revision(i + 1)
+			}
+			after := l.revision + 1
+			changed := map[string]bool{}
+			for _, effect := range l.state.Apply(l.now, daemon.ChangesRead{Whole: true, Delta: model.Delta{Revision: after, Changes: whole}}) {
+				send, ok := effect.(daemon.SendPeer)
+				if !ok || send.Message.Report == nil {
+					continue
+				}
+				qt.Assert(t, send.Message.Delta.Revision, qt.Equals, after)
+				for _, change := range send.Message.Delta.Changes {
+					changed[change.Key+map[bool]string{true: " deleted"}[change.Deleted]] = true
+				}
+			}
+			qt.Assert(t, slices.Collect(maps.Keys(changed)), qt.ContentEquals, test.want)
+		})
+	}
+}
--- a/core/command/daemon/reads.go
+++ b/core/command/daemon/reads.go
@@ -38,12 +38,12 @@
 }
 
 // readWait returns how long the platform may hold a read until there is a change. A daemon that is not ready needs the
-// answer at once; one that reads by lease, only until it has a first configuration.
-func (s *State) readWait() time.Duration {
+// answer at once.
+func (s *State) readWait(now time.Time) time.Duration {
 	switch {
-	case s.Settings.Leased && s.Config.Complete > 0:
+	case s.Settings.Leased && s.Config.Complete > 0 && s.Lease.LongPoll(now):
 		return lease.Wait
-	case !s.Start.Ready:
+	case s.Settings.Leased, !s.Start.Ready:
 		return 0
 	}
 	return reader.Wait
@@ -75,13 +75,6 @@
 	return s.starting(now) || now.Sub(s.Reported.Since) < ownReadTimeout
 }
 
-// isListed reports whether the upstream beside this daemon is listed. Others do not know of a daemon that is not, so
-// that it gets no reports; it reads for itself, and is the reader for nobody.
-func (s *State) isListed() bool {
-	_, listed := s.listed[s.self.Name]
-	return listed
-}
-
 // readRank returns how many daemons read before this one. Those that could not be reached lately don't count.
 func (s *State) readRank(now time.Time) int {
 	rank := 0
--- a/core/command/daemon/view.go
+++ b/core/command/daemon/view.go
@@ -122,6 +122,8 @@
 		}
 	}
 	s.listedMembers = tree.Members(peers)
+	_, listed := s.listed[s.self.Name]
+	s.Lease.Alone = !listed
 }
 
 // leaving returns the upstreams that take no new work. Only those with a notice, a mark or a listed state
--- a/core/command/lease/lease.go
+++ b/core/command/lease/lease.go
@@ -26,6 +26,8 @@
 	// rankDelay is how much longer each of the first orderedRanks waits, so that one reads and the others hear of it.
 	rankDelay    = 30 * time.Millisecond
 	orderedRanks = 10
+	// aloneAge is the age of knowledge at which a daemon reads of which the others do not know.
+	aloneAge = 1400 * time.Millisecond
 	// The later ranks read at random times after those, in a period of lateRankDelay for each of them and of maxLateDelay
 	// at most. They have their turn only if the first ones are gone or their reports are lost.
 	lateRankDelay = 2 * time.Millisecond
@@ -56,6 +58,8 @@
 	DueAt time.Time
 	// InFlight is true while a read waits for its answer.
 	InFlight bool
+	// Alone is true while others do not know of this daemon: they hear of no reads of it, and it is the reader for nobody.
+	Alone bool
 	// Renewing is true if the latest read was due by the age of this daemon's knowledge. Only such a read makes it the
 	// reader for others.
 	Renewing bool
@@ -84,7 +88,7 @@
 		return false
 	}
 	first := s.FreshAt.IsZero()
-	renewing := !first && (s.isReader(now) || now.Sub(s.FreshAt) >= MaxAge+s.turn(rank))
+	renewing := !first && (s.isReader(now) || now.Sub(s.FreshAt) >= s.patience(rank))
 	if !first && !renewing && !behind {
 		return false
 	}
@@ -93,6 +97,18 @@
 	return true
 }
 
+// patience returns the age of its knowledge at which a daemon of the given rank reads.
+func (s *State) patience(rank int) time.Duration {
+	if s.Alone {
+		return aloneAge
+	}
+	return MaxAge + s.turn(rank)
+}
+
+// LongPoll reports whether the read in flight may wait for a change. A daemon that takes over from a reader does not
+// wait, so that the others hear in time that they need not read.
+func (s *State) LongPoll(now time.Time) bool { return s.Alone || s.isReader(now) }
+
 // turn returns how much longer than MaxAge a daemon of the given rank waits.
 func (s *State) turn(rank int) time.Duration {
 	if rank <= orderedRanks {
@@ -118,7 +134,7 @@
 	}
 	s.Failures = 0
 	s.FreshAt = now
-	if s.Renewing {
+	if s.Renewing && !s.Alone {
 		s.OwnReadAt = now
 	}
 	s.DueAt = now.Add(readGap)
