Close connections that carried no request when a daemon stops

Other daemons open connections that they then do not need, and net/http's Shutdown waits up to five seconds for each that has carried no request.

Ruled out: work in flight, which ends first; callers, whose connections are closed after 0.4 s.

Change: the connections of callers and daemons that have carried no request are closed once the ports are. Nothing was read from them.

--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -69,6 +69,7 @@
 		newServer(parts.operators),
 	}
 	stopper.servers[0].ConnState = stopper.trackCaller
+	stopper.servers[1].ConnState = stopper.trackUnused
 	return stopper.servers
 }
 
--- a/cftd/start/stop.go
+++ b/cftd/start/stop.go
@@ -27,7 +27,7 @@
 	closeLingerDivisor   = 12
 	operatorsStopTimeout = 100 * time.Millisecond
 	// stopShare is the share of stop_ms that the stop may use. The rest lets the process end within stop_ms on a busy
-	// machine too: net/http waits up to five seconds for a connection that was opened and never used.
+	// machine too.
 	stopShare = 0.85
 )
 
@@ -44,6 +44,8 @@
 	// callers counts the connections of callers, and work the calls at the gate.
 	callers idle.Counter
 	work    idle.Counter
+	// unused has the connections of callers and of other daemons that have carried no request yet.
+	unused  unusedConns
 	servers []*http.Server
 	// refuse makes the gate take no new calls, and announces that to other daemons.
 	refuse func()
@@ -53,7 +55,7 @@
 
 // trackCaller counts the connections of callers.
 func (s *stopper) trackCaller(conn net.Conn, state http.ConnState) {
-	relay.GuardState(conn, state)
+	s.trackUnused(conn, state)
 	switch state {
 	case http.StateNew:
 		s.callers.Enter()
@@ -62,6 +64,12 @@
 	}
 }
 
+// trackUnused notes which connections have carried no request yet.
+func (s *stopper) trackUnused(conn net.Conn, state http.ConnState) {
+	relay.GuardState(conn, state)
+	s.unused.track(conn, state)
+}
+
 // stop goes through the steps and returns when the ports are closed, at the latest after the given time. The error says
 // that work was still in flight then.
 func (s *stopper) stop(within time.Duration) error {
@@ -86,6 +94,7 @@
 	for _, server := range s.servers[:operatorsServer] {
 		closing.Go(func() error { return server.Shutdown(ctx) })
 	}
+	s.unused.close()
 	err := closing.Wait()
 	s.finish(ctx)
 	operatorsCtx, cancelOperators := context.WithTimeout(context.Background(), operatorsStopTimeout)
