--- a/Makefile
+++ b/Makefile
@@ -13,12 +13,12 @@
 	go build -o bin/ ./cftd ./cftctl ./cftlab
 	go build -o bin/cftd-platform ./platform
 
-# Formatter, linter, vet, race-enabled tests, golden sessions and a short soak; seeds are fixed so that every run gives
+# Formatter, linter, vet for both kinds of machine, race-enabled tests, golden sessions and a short soak; seeds are fixed so that every run gives
 # the same verdict.
 check: build
 	@unformatted=$$(gofmt -s -l $(MODULES)); if [ -n "$$unformatted" ]; then echo "run gofmt -s -w on:"; echo "$$unformatted"; exit 1; fi
 	@strays=$$(grep -rlE '$(PLATFORM_NAMES)' --include=*.go core cftd cftctl cftlab); if [ -n "$$strays" ]; then echo "names of the platform outside platform/:"; echo "$$strays"; exit 1; fi
-	go vet $(PACKAGES)
+	for machine in amd64 arm64; do CGO_ENABLED=0 GOARCH=$$machine go vet $(PACKAGES) || exit 1; done
 	go tool staticcheck $(PACKAGES)
 	go tool revive -config tools/revive.toml -set_exit_status $(PACKAGES)
 	go test -race -count=1 -timeout 600s $(PACKAGES)
