--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -138,8 +138,6 @@
 		s.Gossip.Lost(e.Address)
 	case CrashSeen:
 		s.Gossip.QueueAnnouncement(gossip.UrgentFanOut)
-	case CallFailed:
-		s.callFailed(now, e.Upstream)
 	case UpstreamProbed:
 		s.upstreamProbed(e.Draining)
 	case StopRequested:
@@ -256,58 +254,6 @@
 	s.refreshOwnNotice()
 }
 
-// callFailed avoids the daemon of a failed call as a peer, if it is in the sample.
-func (s *State) callFailed(now time.Time, upstream model.UpstreamName) {
-	for _, peer := range s.Members.Sample {
-		if peer.Name == upstream {
-			s.Members.Lost(now, peer.Address)
-		}
-	}
-}
-
-// upstreamProbed handles the upstream's answer to a probe. Before the daemon is ready it may lack an operator's
-// mark that has already revoked this leaving, so it ignores the answer; it serves nothing until then.
-func (s *State) upstreamProbed(draining bool) {
-	if !s.Start.Ready {
-		return
-	}
-	if draining && !s.Draining {
-		s.startLeaving()
-	}
-	s.Draining = draining
-}
-
-// startLeaving publishes that the upstream beside this daemon takes no new work.
-func (s *State) startLeaving() {
-	s.publishNotice(leave.Notice{
-		Upstream:    s.self.Name,
-		Incarnation: s.self.Incarnation,
-		Leaving:     true,
-		Stopping:    s.Stopping,
-		Listed:      s.listed[s.self.Name].Incarnation,
-		Mark:        s.Config.Marks.Entries[s.self.Name].Revision,
-	})
-}
-
-// refreshOwnNotice raises the listed incarnation in this daemon's own notice after the instance list has changed.
-// The list lags, so an entry that appears after the notice may still be of the incarnation that leaves.
-func (s *State) refreshOwnNotice() {
-	notice := s.Leaves.Notices[s.self.Name]
-	if !notice.Leaving || notice.Incarnation != s.self.Incarnation {
-		return
-	}
-	notice.Listed = max(notice.Listed, s.listed[s.self.Name].Incarnation)
-	s.publishNotice(notice)
-}
-
-// publishNotice merges a notice of this daemon, and announces it if it is new.
-func (s *State) publishNotice(notice leave.Notice) {
-	if s.Leaves.Merge([]leave.Notice{notice}) {
-		s.Gossip.QueueAnnouncement(gossip.UrgentFanOut)
-		s.rebuild()
-	}
-}
-
 // upstreamsOf returns the upstreams of all kept services, ordered by service name.
 func upstreamsOf(services map[model.ServiceName]model.Service) []model.Upstream {
 	var upstreams []model.Upstream
--- a/core/command/daemon/event.go
+++ b/core/command/daemon/event.go
@@ -36,11 +36,6 @@
 	Draining bool
 }
 
-// CallFailed says that a call could not be delivered to the gate of another daemon.
-type CallFailed struct {
-	Upstream model.UpstreamName
-}
-
 // CrashSeen says that the poison detector has new evidence for peers.
 type CrashSeen struct{}
 
@@ -51,7 +46,6 @@
 func (MessageReceived) event() {}
 func (PeerLost) event()        {}
 func (UpstreamProbed) event()  {}
-func (CallFailed) event()      {}
 func (CrashSeen) event()       {}
 func (StopRequested) event()   {}
 
--- a/core/command/lease/lease.go
+++ b/core/command/lease/lease.go
@@ -172,12 +172,12 @@
 // ReportEndsOutage reports whether a peer's report ends an outage.
 func (s *State) ReportEndsOutage(now time.Time, r Freshness) bool { return s.EndsOutage(r.at(now)) }
 
-// maxAge bounds the ages that are believed; knowledge of that age is as good as none.
-const maxAge = time.Hour
+// longestAge bounds the ages that are believed; knowledge of that age is as good as none.
+const longestAge = time.Hour
 
 // at returns the time of the knowledge. A malformed age counts as the nearest possible one.
 func (f Freshness) at(now time.Time) time.Time {
-	ageMs := min(max(f.AgeMs, 0), maxAge.Milliseconds())
+	ageMs := min(max(f.AgeMs, 0), longestAge.Milliseconds())
 	return now.Add(-time.Duration(ageMs) * time.Millisecond)
 }
 
