Accept a closed connection where a busy machine answers an endless head too late

Traced: the exchange took 2.40 s; the daemon's write deadline is the call's deadline plus 1 s (relay.SetDeadlines), 1.7 s here, so that a process that is not run until then can no longer send its 502.

Ruled out: an answer that is passed on as if it were whole; a daemon that goes on beyond the deadline. A closed connection promises nothing, so the case is allowed, and only where it took longer than deadline and grace.

Change: the test accepts it there.

--- a/cftd/start/endless_test.go
+++ b/cftd/start/endless_test.go
@@ -21,6 +21,9 @@
 const (
 	// endlessDeadline is the deadline of the calls whose answers do not end.
 	endlessDeadline = 700 * time.Millisecond
+	// answerGrace is how long after the deadline the daemon may still answer. On a machine that is too busy to run it for
+	// so long, the caller finds its connection closed, which promises nothing.
+	answerGrace = time.Second
 	// endlessHead bounds the bytes that the daemon reads of a head: its own bound, and what buffers hold.
 	endlessHead = 16 << 20
 )
@@ -82,13 +85,15 @@
 			current.Store(&test)
 			request := fmt.Sprintf("POST /svc/reservas/endless HTTP/1.1\r\nHost: a\r\nComfreytack-Customer: police\r\n%s: %d\r\nContent-Length: 0\r\n\r\n",
 				wire.HeaderDeadlineMs, endlessDeadline.Milliseconds())
+			began := time.Now()
 			answer, _, err := exchangeUnpaused(t, f.daemons[0], request)
+			tooBusy := err != nil && time.Since(began) > endlessDeadline+answerGrace
 			var timeout net.Error
 			qt.Check(t, errors.As(err, &timeout) && timeout.Timeout(), qt.IsFalse, qt.Commentf("the daemon goes on beyond the deadline"))
 			if err == nil && answer.StatusCode != http.StatusOK {
 				qt.Check(t, answer.Header.Get(wire.HeaderVerdict), qt.Equals, "may_have_run")
 			} else {
-				qt.Check(t, test.inBody, qt.IsTrue, qt.Commentf("%v %v", answer, err))
+				qt.Check(t, test.inBody || tooBusy, qt.IsTrue, qt.Commentf("%v %v", answer, err))
 			}
 			<-closed
 			if !test.inBody {
