--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -46,6 +46,8 @@
 	"early-answer":      earlyAnswer,
 	"held-request":      heldRequest,
 	"poison-upload":     poisonUpload,
+	"large-weights":     largeWeights,
+	"smuggled-request":  smuggledRequest,
 }
 
 func main() {
--- a/review/lab/site.go
+++ b/review/lab/site.go
@@ -260,7 +260,14 @@
 	TargetLatencyS float64 `json:"targetLatencyS"`
 	Priority       int     `json:"priority"`
 	Service        string  `json:"service,omitempty"`
-	Attempts       int     `json:"attempts"`
+	// WeightedClusters takes the place of Service in a split.
+	WeightedClusters []configCluster `json:"weightedClusters,omitempty"`
+	Attempts         int             `json:"attempts"`
+}
+
+type configCluster struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
 }
 
 type configService struct {
