--- a/core/model/contract.go
+++ b/core/model/contract.go
@@ -69,6 +69,8 @@
 	// Sequence increases with each entry that one incarnation publishes about itself, so that an older entry that
 	// arrives late does not replace a newer one. Zero when entries are not numbered.
 	Sequence uint64 `json:"sequence,omitempty"`
+	// WarmupLeftMs is how much longer the upstream is cold, by its own entry, in ms; zero when it is warm.
+	WarmupLeftMs int `json:"warmup_left_ms,omitzero"`
 	// State is "live" or "leaving" according to the instance list, which lags behind.
 	State State `json:"state"`
 }
--- a/core/model/document.go
+++ b/core/model/document.go
@@ -51,10 +51,22 @@
 	Connections int `json:"connections"`
 	// HealthPath is the path at which an upstream reports its load without delay; it begins with a slash.
 	HealthPath string `json:"health_path"`
+	// WarmupPerS is how many requests a second an upstream tolerates while it is cold; zero when the service sets no such
+	// limit.
+	WarmupPerS float64 `json:"warmup_per_s,omitzero"`
+	// WarmupMs is how long an upstream is cold after its start, in ms.
+	WarmupMs int `json:"warmup_ms,omitzero"`
 }
 
 // Intake limits what a caller may send.
 type Intake struct {
 	// MaxBodyBytes is the largest request body accepted; positive.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// MaxHeadBytes is the largest request head accepted, from the request line to the empty line; zero means the daemon's
+	// default.
+	MaxHeadBytes int `json:"max_head_bytes,omitzero"`
+	// HeadTimeoutMs is how long a caller may take to send a head, in ms; zero means the daemon's default.
+	HeadTimeoutMs int `json:"head_timeout_ms,omitzero"`
+	// IdleTimeoutMs is how long a connection may stay idle between requests, in ms; zero means the daemon's default.
+	IdleTimeoutMs int `json:"idle_timeout_ms,omitzero"`
 }
--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -120,4 +120,12 @@
 	UpstreamSlow // upstream_slow
 	// WrongAnswer means that the answer received does not belong to this request.
 	WrongAnswer // wrong_answer
+	// DomainEvacuated means that an operator has evacuated the upstream's failure domain.
+	DomainEvacuated // domain_evacuated
+	// UpstreamCold means that the upstream has just started and takes no further request at the moment.
+	UpstreamCold // upstream_cold
+	// MemoryShort means that the daemon has no memory left to hold the request or its answer.
+	MemoryShort // memory_short
+	// CalleeFull means that a service that the request would call has no room, so that the request would fail.
+	CalleeFull // callee_full
 )
--- a/core/model/snapshot.go
+++ b/core/model/snapshot.go
@@ -30,6 +30,8 @@
 	Services map[ServiceName]Service
 	// Leaving has the upstreams that accept no new work, according to any source.
 	Leaving mapset.Set[UpstreamName]
+	// Evacuated has the failure domains whose upstreams take no new work until an operator takes them back.
+	Evacuated mapset.Set[FailureDomain]
 	// Quarantine maps fingerprints of requests that crash upstreams to the end of their quarantine, until which such
 	// requests are refused.
 	Quarantine map[Fingerprint]time.Time
--- a/core/query/check/document.go
+++ b/core/query/check/document.go
@@ -15,6 +15,9 @@
 	maxAttempts     = 100
 	maxTargetWeight = 1_000_000
 	maxBodyBytes    = 1 << 40
+	maxHeadBytes    = 1 << 30
+
+	maxIntakeTimeoutMs = 24 * 3600 * 1000
 )
 
 // Document decodes and checks the value of "document".
@@ -39,6 +42,9 @@
 		require(document.Version > 0, "version", "0", "at least 1"),
 		require(document.Intake.MaxBodyBytes > 0 && document.Intake.MaxBodyBytes <= maxBodyBytes, "intake.max_body_bytes",
 			strconv.FormatInt(document.Intake.MaxBodyBytes, 10), fmt.Sprintf("from 1 to %d", int64(maxBodyBytes))),
+		rangeRule("intake.max_head_bytes", document.Intake.MaxHeadBytes, 0, maxHeadBytes),
+		rangeRule("intake.head_timeout_ms", document.Intake.HeadTimeoutMs, 0, maxIntakeTimeoutMs),
+		rangeRule("intake.idle_timeout_ms", document.Intake.IdleTimeoutMs, 0, maxIntakeTimeoutMs),
 	}
 	services := map[model.ServiceName]bool{}
 	for i, service := range document.Services {
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -2,6 +2,7 @@
 package setup
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"strconv"
@@ -13,6 +14,13 @@
 const (
 	defaultStopMs = 30_000
 	maxStopMs     = 3_600_000
+
+	defaultMemoryMB    = 256
+	minMemoryMB        = 32
+	maxMemoryMB        = 1 << 20
+	defaultDescriptors = 4096
+	minDescriptors     = 256
+	maxDescriptors     = 1 << 20
 )
 
 // Settings configures one daemon at its start. No setting changes a customer's limits.
@@ -39,10 +47,20 @@
 	Calls []model.ServiceName `json:"calls,omitempty"`
 	// StopMs is the longest wait for requests in flight after a stop signal; from 0 to 3600000, in ms.
 	StopMs float64 `json:"stop_ms,omitempty"`
+	// Limits has what the operating system lets this process use.
+	Limits Limits `json:"limits,omitzero"`
 	// Log configures the log output.
 	Log Log `json:"log,omitempty"`
 }
 
+// Limits has what the operating system lets the daemon's process use. The daemon stays below both.
+type Limits struct {
+	// MemoryMB is the memory of the process in MB of 2^20 bytes, from 32; zero means defaultMemoryMB.
+	MemoryMB int `json:"memory_mb,omitzero"`
+	// Descriptors is how many files and sockets the process may have open, from 256; zero means defaultDescriptors.
+	Descriptors int `json:"descriptors,omitzero"`
+}
+
 // Log configures the log output.
 type Log struct {
 	// Format is "text" or "json"; empty means text.
@@ -66,8 +84,10 @@
 	if err := strict.Decode(file, data, &settings); err != nil {
 		return Settings{}, err
 	}
+	settings.Limits.MemoryMB = cmp.Or(settings.Limits.MemoryMB, defaultMemoryMB)
+	settings.Limits.Descriptors = cmp.Or(settings.Limits.Descriptors, defaultDescriptors)
 	for _, check := range []func(Settings) (field, found, allowed string){
-		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLog,
+		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLimits, checkLog,
 	} {
 		if field, found, allowed := check(settings); field != "" {
 			return Settings{}, strict.FaultAt(file, data, field, found, allowed)
@@ -149,6 +169,21 @@
 	return "", "", ""
 }
 
+func checkLimits(s Settings) (field, found, allowed string) {
+	for _, limit := range []struct {
+		field           string
+		value, min, max int
+	}{
+		{"limits.memory_mb", s.Limits.MemoryMB, minMemoryMB, maxMemoryMB},
+		{"limits.descriptors", s.Limits.Descriptors, minDescriptors, maxDescriptors},
+	} {
+		if limit.value < limit.min || limit.value > limit.max {
+			return limit.field, strconv.Itoa(limit.value), fmt.Sprintf("%d to %d", limit.min, limit.max)
+		}
+	}
+	return "", "", ""
+}
+
 func checkLog(s Settings) (field, found, allowed string) {
 	switch s.Log.Format {
 	case "", "text", "json":
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -71,6 +71,10 @@
 	model.WrongAnswer:      http.StatusBadGateway,
 	model.NearlyFull:       http.StatusServiceUnavailable,
 	model.UpstreamSlow:     http.StatusServiceUnavailable,
+	model.DomainEvacuated:  http.StatusServiceUnavailable,
+	model.UpstreamCold:     http.StatusServiceUnavailable,
+	model.MemoryShort:      http.StatusServiceUnavailable,
+	model.CalleeFull:       http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status for a reason.
