--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	@grep -E '^[0-9]+\. test ' KNOWN-RED.txt | sed 's/^/known red, not run: /' || true
 	go test -race -count=1 -timeout 600s -skip '$(KNOWN_RED)' $$(go list $(PACKAGES) | grep -v /cftlab/crowd$$)
 	go test -count=1 -timeout 600s -skip '$(KNOWN_RED)' $(CROWD_PACKAGE)
-	bin/cftlab faults --seconds 6 --seed 1 --count 15 --bin bin
+	for seed in 1 2; do bin/cftlab faults --seconds 6 --seed $$seed --count 15 --bin bin || exit 1; done
 
 # Starts a whole deployment on loopback, sends a mixed load while upstreams fail, and checks the run logs.
 demo: build
--- a/cftlab/stub/stub_test.go
+++ b/cftlab/stub/stub_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -133,6 +134,29 @@
 	qt.Assert(t, fake.Health().InFlight, qt.Equals, 0)
 }
 
+// TestShedsAboveBound checks that a request is shed while all slots are in use and as many requests wait as may.
+func TestShedsAboveBound(t *testing.T) {
+	fake := stub.New(t.Context(), stub.Settings{Name: "u-1", Slots: 2, Waiting: 1, Now: time.Now}, &bytes.Buffer{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	codes := make(chan int, 4)
+	for range 4 {
+		go func() {
+			request := httptest.NewRequestWithContext(ctx, http.MethodGet, "/x?ms=3600000", nil)
+			recorder := httptest.NewRecorder()
+			fake.Handler().ServeHTTP(recorder, request)
+			codes <- recorder.Code
+		}()
+	}
+	qt.Assert(t, <-codes, qt.Equals, stub.StatusShed)
+	qt.Assert(t, fake.Health().InFlight <= 2, qt.IsTrue)
+	select {
+	case code := <-codes:
+		t.Fatalf("a second request ended with status %d", code)
+	default:
+	}
+}
+
 // TestAnswer checks that an answer is a line of JSON and a payload of the requested size.
 func TestAnswer(t *testing.T) {
 	fake := stub.New(t.Context(), stub.Settings{Name: "u-1", Slots: 1, Now: time.Now}, &bytes.Buffer{})
--- a/cftlab/verbs/compare.go
+++ b/cftlab/verbs/compare.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/pkg/errors"
@@ -55,15 +56,19 @@
 		return err
 	}
 	lines := suite.Lines(experiment, results)
-	if c.JSON {
-		return errors.WithStack(json.NewEncoder(streams.Out).Encode(lines))
-	}
-	if err := suite.Print(streams.Out, experiment, lines, c.Repeats); err != nil {
+	if err := c.print(streams.Out, experiment, lines); err != nil {
 		return err
 	}
 	return checkGuarantees(results)
 }
 
+func (c *compare) print(out io.Writer, experiment suite.Experiment, lines []suite.Line) error {
+	if c.JSON {
+		return errors.WithStack(json.NewEncoder(out).Encode(lines))
+	}
+	return suite.Print(out, experiment, lines, c.Repeats)
+}
+
 // checkGuarantees returns an error if the run logs of a run show a violated guarantee.
 func checkGuarantees(results []suite.Result) error {
 	for _, result := range results {
--- a/core/command/prior/prior.go
+++ b/core/command/prior/prior.go
@@ -17,8 +17,7 @@
 )
 
 const (
-	// The longest requested time is kept for at least window, and for at most twice that while requests for the
-	// route keep arriving.
+	// The longest requested time is kept for at least window and at most twice that.
 	window = 5 * time.Second
 	// maxRoutes bounds the number of routes that are kept.
 	maxRoutes = 1024
@@ -50,7 +49,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	known, _ := e.routes.Get(route)
-	if now.Sub(known.since) >= window {
+	switch age := now.Sub(known.since); {
+	case age >= 2*window:
+		known = maxima{since: now}
+	case age >= window:
 		known.previous, known.current, known.since = known.current, 0, now
 	}
 	known.current = max(known.current, asked)
--- a/core/command/prior/prior_test.go
+++ b/core/command/prior/prior_test.go
@@ -26,6 +26,7 @@
 		{name: "no time asked for", at: 400 * ms, route: "beds"},
 		{name: "in the next window", at: 6 * time.Second, route: "beds", asked: 1000 * ms, want: 200 * ms},
 		{name: "two windows later", at: 12 * time.Second, route: "beds", asked: 1000 * ms},
+		{name: "after a long time without requests", at: 60 * time.Second, route: "beds", asked: 400 * ms},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/loop/loop.go
+++ b/core/loop/loop.go
@@ -16,7 +16,7 @@
 type Machine[E, F any] interface {
 	// Apply updates the state for one event and returns the effects that the daemon has to perform.
 	Apply(now time.Time, event E) []F
-	// Tick is called at regular intervals and returns effects like Apply. The argument suspended is how long the computer
+	// Tick is called at regular intervals and returns effects like Apply. The argument suspended is how long the machine
 	// was suspended since the last call.
 	Tick(now time.Time, suspended time.Duration) []F
 	// Snapshot returns an immutable view of the state.
@@ -31,7 +31,7 @@
 	Backlog int
 	// Now reads the clock, with its monotonic part.
 	Now func() time.Time
-	// Suspended returns how long the computer has been suspended since the start, which Now does not count; nil means
+	// Suspended returns how long the machine has been suspended since the start, which Now does not count; nil means
 	// never.
 	Suspended func() time.Duration
 	// Changed, if not nil, is called by the control goroutine after each snapshot that replaces another. It must
--- a/core/loop/loop_test.go
+++ b/core/loop/loop_test.go
@@ -92,7 +92,7 @@
 				var l *loop.Loop[string, model.Revision]
 				var performed []model.Revision
 				began := time.Now()
-				// The computer is suspended for one minute between the first and second tick.
+				// The machine is suspended for one minute between the first and second tick.
 				suspended := func() time.Duration {
 					if time.Since(began) > 1500*time.Millisecond {
 						return time.Minute
--- a/core/wire/key.go
+++ b/core/wire/key.go
@@ -87,13 +87,14 @@
 	header.Set(HeaderSend, strconv.Itoa(call.Send))
 }
 
+// parseSendNumber decodes a send number; zero, or no text, means that the caller does not number its sends.
 func parseSendNumber(text string) (int, error) {
 	if text == "" {
 		return 0, nil
 	}
 	send, err := strconv.Atoi(text)
 	if err != nil || send < 0 || send > maxSendNumber {
-		return 0, errors.Errorf("%s is %q, not a number from 1 to %d", HeaderSend, text, maxSendNumber)
+		return 0, errors.Errorf("%s is %q, not a number from 1 to %d, or 0 for a send without a number", HeaderSend, text, maxSendNumber)
 	}
 	return send, nil
 }
