Take every connection in by one bounded loop that runs idempotent requests ahead

Cause: the library's server serves the requests of a connection one after another, so that requests sent ahead waited for each other; it parses a head before anyone knows what that takes, and the guard's line buffer had no bound; the guard, a second scanner, could not see a request behind another in one segment. An upload that was answered early left its connection open: CopyHeader deleted the entry's "Connection: close", and the transport could still be reading the body when the server read the next head. Ruled out: the library's server with the guard repaired (docs/design/intake.md): it would need a second parser of bodies, and requests would stay in a row. Change: cftd/intake accepts the connections of the callers', gate's and operators' ports. It finds the end of a head, weighs it by bytes and lines, reserves that memory, and only then has http.ReadRequest parse it. Idempotent requests (by the dialect's ReadCall) run side by side up to 16 a connection; answers are written in order. A connection whose request was not read to its end closes after the answer; CopyHeader leaves what its target has. Memory and descriptors of all four ports are one budget from limits.memory_mb and limits.descriptors (core/command/quota); core/query/evict picks who goes when it is short. The document's max_head_bytes, head_timeout_ms and idle_timeout_ms are in force. Every refusal at the door carries not_run and a reason. Peers' messages are bounded by time and by the same budget. Go's memory limit is set from memory_mb. Chunked requests no longer close their connection: heads with both a length and chunks are refused, which was the reason. TestRandomSessions found a request that was started behind a broken answer.

--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -72,6 +72,13 @@
 	return router
 }
 
+// RunsAhead reports whether a caller's request may run before earlier ones of its connection have been answered: whether
+// it is idempotent.
+func (e *Entry[D]) RunsAhead(r *http.Request) bool {
+	call, failure := e.settings.Dialect.ReadCall(r, e.settings.Snapshot(), e.settings.Now())
+	return failure == nil && call.Idempotent && call.Key.IsAbsent()
+}
+
 func (e *Entry[D]) serve(w http.ResponseWriter, r *http.Request) {
 	began := e.settings.Now()
 	snapshot := e.settings.Snapshot()
@@ -91,12 +98,6 @@
 	} else {
 		failure = coverAllSends(call, failure)
 	}
-	if len(r.TransferEncoding) > 0 {
-		// net/http hides a Content-Length that comes with chunked coding. A sender that goes by that length
-		// takes what follows the chunks for another request (request smuggling). Closing the connection makes
-		// sure that there is none.
-		w.Header().Set("Connection", "close")
-	}
 	if failure != nil {
 		e.settings.Dialect.WriteFailure(w, call, failure)
 		end.verdict = failure.Verdict
@@ -129,6 +130,9 @@
 
 // run sends the call and returns the answer. It records the verdict and the attempts in end.
 func (e *Entry[D]) run(ctx context.Context, w http.ResponseWriter, r *http.Request, call *model.Call, end *outcome) (*http.Response, *model.Failure) {
+	if err := awaitTurn(w, call); err != nil {
+		return nil, coverAllSends(*call, &model.Failure{Verdict: model.NotRun, Reason: model.CallerGone, Cause: err})
+	}
 	body, err := relay.ReadBody(r)
 	if err != nil {
 		return nil, coverAllSends(*call, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err})
@@ -148,6 +152,16 @@
 	return answer, failure
 }
 
+// awaitTurn waits until earlier requests of the caller's connection have been answered, unless the call is idempotent. The
+// configuration may have changed since the door has asked RunsAhead.
+func awaitTurn(w http.ResponseWriter, call *model.Call) error {
+	ordered, ok := w.(interface{ AwaitTurn() error })
+	if !ok || call.Idempotent {
+		return nil
+	}
+	return ordered.AwaitTurn()
+}
+
 // attempts tries the call on upstreams. The verdict covers all attempts, not only the last one.
 func (e *Entry[D]) attempts(ctx context.Context, call model.Call, a *attempter[D]) (*http.Response, model.Verdict, *model.Failure) {
 	answer, failure := e.settings.Send(ctx, call, a)
--- a/cftd/meter/meter.go
+++ b/cftd/meter/meter.go
@@ -34,6 +34,8 @@
 	Decisions *prometheus.CounterVec
 	// Truncated counts answers that ended before their framing said so.
 	Truncated *prometheus.CounterVec
+	// Refused counts the requests and connections that were refused or closed before a call began, by port and reason.
+	Refused *prometheus.CounterVec
 }
 
 // New returns a meter with all its metric families registered.
@@ -64,8 +66,11 @@
 		Truncated: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreytack_truncated_answers_total", Help: "Answers that ended before their framing said so.",
 		}, []string{"customer", "service"}),
+		Refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "comfreytack_intake_refused_total", Help: "Requests and connections refused or closed before a call began, by reason.",
+		}, []string{"port", "reason"}),
 	}
-	m.Registry.MustRegister(m.Calls, m.Waits, m.Failures, m.Attempts, m.Probes, m.Sends, m.Decisions, m.Truncated,
+	m.Registry.MustRegister(m.Calls, m.Waits, m.Failures, m.Attempts, m.Probes, m.Sends, m.Decisions, m.Truncated, m.Refused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -94,6 +99,11 @@
 	m.Registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(read()) }))
 }
 
+// WatchNow registers a gauge whose value is read by the function whenever metrics are gathered.
+func (m *Meter) WatchNow(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
 // Wait records how long a request waited at the gate.
 func (m *Meter) Wait(call model.Call, waited time.Duration) {
 	m.Waits.WithLabelValues(string(call.Customer), call.Class.String()).Observe(waited.Seconds())
--- a/cftd/peers/link.go
+++ b/cftd/peers/link.go
@@ -68,7 +68,7 @@
 		return nil, errors.Wrap(err, "dial peer")
 	}
 	timed := &timedConn{Conn: conn, traffic: &l.network.Traffic}
-	return newRPC(l.network.ctx, timed, jsonrpc2.HandlerWithError(l.network.handle)), nil
+	return newRPC(l.network.ctx, timed, &codec{conn: timed}, jsonrpc2.HandlerWithError(l.network.handle)), nil
 }
 
 func (l *link) send(rpc *jsonrpc2.Conn, message gossip.Message) error {
--- a/cftd/peers/peers.go
+++ b/cftd/peers/peers.go
@@ -18,6 +18,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -25,8 +26,8 @@
 	json2 "github.com/go-json-experiment/json"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
-	"golang.org/x/sync/semaphore"
 
+	"comfreytack/cftd/intake"
 	"comfreytack/core/command/daemon"
 	"comfreytack/core/command/gossip"
 	"comfreytack/core/model"
@@ -45,6 +46,10 @@
 	writeTimeout = 5 * time.Second
 	idleOutgoing = 30 * time.Second
 	idleIncoming = 90 * time.Second
+	// portName names the peer port in metrics and in the log.
+	portName = "peers"
+	// connBytes is the estimated memory of an idle connection.
+	connBytes = 24 << 10
 	// acceptBackoff is the delay after a failed accept, for example when file descriptors have run out.
 	acceptBackoff = 50 * time.Millisecond
 	methodGossip  = "gossip"
@@ -56,6 +61,9 @@
 	Post func(daemon.Event) bool
 	// Log receives connection failures.
 	Log *slog.Logger
+	// Budget bounds the memory and descriptors of connections that are accepted. When it is nil, only their number is
+	// bounded.
+	Budget *intake.Budget
 	// Allow reports whether a connection to or from an address may be used; nil allows all. Tests partition
 	// the network with it.
 	Allow func(model.Address) bool
@@ -67,7 +75,6 @@
 	Traffic Traffic
 
 	settings Settings
-	incoming *semaphore.Weighted
 	ctx      context.Context
 	stop     context.CancelFunc
 	running  sync.WaitGroup
@@ -79,9 +86,13 @@
 // New returns a network without connections. Close releases it.
 func New(settings Settings) *Network {
 	ctx, stop := context.WithCancel(context.Background())
+	if settings.Budget == nil {
+		settings.Budget = intake.NewBudget(intake.BudgetSettings{
+			Bytes: math.MaxInt64, Conns: maxIncoming, Now: time.Now, Count: func(string, string) {}, Log: settings.Log,
+		})
+	}
 	return &Network{
 		settings: settings,
-		incoming: semaphore.NewWeighted(maxIncoming),
 		ctx:      ctx,
 		stop:     stop,
 		links:    map[model.Address]*link{},
@@ -114,11 +125,12 @@
 			}
 			continue
 		}
-		if !n.incoming.TryAcquire(1) {
+		account := n.settings.Budget.Open(portName, conn.RemoteAddr().String(), connBytes, func() { _ = conn.Close() })
+		if account == nil {
 			_ = conn.Close()
 			continue
 		}
-		n.serveConn(ctx, conn)
+		n.serveConn(ctx, conn, account)
 	}
 }
 
@@ -135,19 +147,19 @@
 	return false
 }
 
-func (n *Network) serveConn(ctx context.Context, conn net.Conn) {
+func (n *Network) serveConn(ctx context.Context, conn net.Conn, account *intake.Account) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	// Close waits for all goroutines, so none may be added once that wait has begun.
 	if n.ctx.Err() != nil {
-		n.incoming.Release(1)
+		account.Close()
 		_ = conn.Close()
 		return
 	}
 	timed := &timedConn{Conn: conn, traffic: &n.Traffic, idle: idleIncoming}
-	rpc := newRPC(n.ctx, timed, jsonrpc2.HandlerWithError(n.handle))
+	rpc := newRPC(n.ctx, timed, &codec{conn: timed, account: account}, jsonrpc2.HandlerWithError(n.handle))
 	n.running.Go(func() {
-		defer n.incoming.Release(1)
+		defer account.Close()
 		select {
 		case <-rpc.DisconnectNotify():
 		case <-ctx.Done():
@@ -202,9 +214,9 @@
 }
 
 // newRPC starts JSON-RPC on a connection. Its own log output is discarded.
-func newRPC(ctx context.Context, conn io.ReadWriteCloser, handler jsonrpc2.Handler) *jsonrpc2.Conn {
+func newRPC(ctx context.Context, conn *timedConn, codec *codec, handler jsonrpc2.Handler) *jsonrpc2.Conn {
 	discardLog := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
-	return jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec{}), handler, discardLog)
+	return jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec), handler, discardLog)
 }
 
 // encode encodes a message as the parameters of a request.
--- a/cftd/relay/roundtrip.go
+++ b/cftd/relay/roundtrip.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"syscall"
 	"time"
 
@@ -27,6 +28,8 @@
 	connWriteBuffer       = 16 << 10
 	connReadBuffer        = 16 << 10
 	maxIdlePerAddress     = 64
+	// maxDrainBytes bounds the body of a refusal that is read to its end.
+	maxDrainBytes = 256 << 10
 )
 
 // keepAlive detects a connection whose peer disappeared without closing it.
@@ -176,19 +179,18 @@
 	}
 }
 
-// CopyHeader adds the end-to-end headers of source to target.
+// CopyHeader adds the end-to-end headers of source to target. It leaves what target has, such as a "Connection: close"
+// for the caller.
 func CopyHeader(target, source http.Header) {
-	for name, values := range source {
-		target[name] = append(target[name], values...)
+	var listed []string
+	for _, list := range source["Connection"] {
+		listed = append(listed, splitList(list)...)
 	}
-	for _, listed := range source.Values("Connection") {
-		for _, name := range splitList(listed) {
-			target.Del(name)
+	for name, values := range source {
+		if !slices.Contains(hopByHopHeaders, name) && !slices.Contains(listed, name) {
+			target[name] = append(target[name], values...)
 		}
 	}
-	for _, name := range hopByHopHeaders {
-		target.Del(name)
-	}
 }
 
 // roundTripFailure returns the failure for an error of the transport. If wrote is false, the request has not run.
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -16,6 +16,7 @@
 	"comfreytack/cftd/gate"
 	"comfreytack/cftd/health"
 	"comfreytack/cftd/home"
+	"comfreytack/cftd/intake"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/poll"
 	"comfreytack/cftd/relay"
@@ -60,11 +61,10 @@
 	answerLifetime         = 10 * time.Minute
 )
 
-// parts has what Serve starts and stops: the handlers of the HTTP ports and the functions of the other components.
+// parts has what Serve starts and stops: the servers of the HTTP ports and the functions of the other components.
 type parts struct {
-	callers   http.Handler
-	gate      http.Handler
-	operators http.Handler
+	// servers has those of the callers', the gate's and the operators' port, in this order.
+	servers []*intake.Server
 	// control runs the control plane until the context ends; the listener is the peer port.
 	control func(context.Context, net.Listener) error
 	// probeGates asks other daemons' gates for their load until the context ends.
@@ -93,6 +93,8 @@
 	gateTransport *http.Transport
 	loads         *load.Tracker
 	probeBudget   *probe.Budget
+	// budget bounds the memory and descriptors of accepted connections.
+	budget *intake.Budget
 	// stopper stops the daemon.
 	stopper *stopper
 }
@@ -101,7 +103,9 @@
 	self := selfUpstream(settings, time.Now())
 	detector := poison.New(poison.DefaultSettings())
 	suspended := clock.New().Suspended
-	plane := newControlPlane(front, settings, self, detector, suspended, log)
+	metrics := meter.New()
+	budget := newBudget(settings, metrics, log)
+	plane := newControlPlane(front, settings, self, detector, suspended, budget, log)
 	deps := dependencies[D]{
 		front:         front,
 		settings:      settings,
@@ -112,7 +116,8 @@
 		suspended:     suspended,
 		detector:      detector,
 		control:       plane.loop,
-		meter:         meter.New(),
+		meter:         metrics,
+		budget:        budget,
 		gateTransport: relay.NewTransport(gateConnections, gateIdleTimeout),
 		loads:         load.New(self, load.DefaultSettings()),
 		probeBudget:   probe.New(time.Now(), probe.DefaultSettings()),
@@ -209,10 +214,11 @@
 		IssuesKeys: deps.front.IssuesKeys,
 		Meter:      deps.meter,
 	})
+	operators := admin.Handler(admin.Settings{Snapshot: deps.control.Snapshot, LameDuck: deps.stopper.lameDuck.Load, Report: localGate.Report, Meter: deps.meter, Version: Version})
 	return &parts{
-		callers:    front.Handler(),
-		gate:       front.GateHandler(gate.Handler(localGate)),
-		operators:  admin.Handler(admin.Settings{Snapshot: deps.control.Snapshot, LameDuck: deps.stopper.lameDuck.Load, Report: localGate.Report, Meter: deps.meter, Version: Version}),
+		servers: []*intake.Server{
+			callersServer(deps, front), gateServer(deps, front.GateHandler(gate.Handler(localGate))), operatorsServer(deps, operators),
+		},
 		control:    deps.plane.run,
 		probeGates: newProber(deps).Run,
 		refuse:     func() { deps.control.Post(daemon.StopRequested{}) },
--- a/cftd/start/control.go
+++ b/cftd/start/control.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"comfreytack/cftd/health"
+	"comfreytack/cftd/intake"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/peers"
 	"comfreytack/cftd/talk"
@@ -37,7 +38,8 @@
 }
 
 func newControlPlane[D talk.Dialect](
-	front Front[D], settings setup.Settings, self model.Upstream, detector *poison.Detector, suspended func() time.Duration, log *slog.Logger,
+	front Front[D], settings setup.Settings, self model.Upstream, detector *poison.Detector, suspended func() time.Duration,
+	budget *intake.Budget, log *slog.Logger,
 ) *controlPlane {
 	c := &controlPlane{log: log}
 	state := daemon.New(daemon.Settings{
@@ -50,7 +52,7 @@
 		Leased: front.Leased,
 	}, time.Now())
 	c.loop = loop.New(loop.Settings{TickInterval: tickInterval, Backlog: eventBacklog, Now: time.Now, Suspended: suspended, Changed: logChanges(log), Panicked: c.logPanic}, state, c.perform)
-	c.network = peers.New(peers.Settings{Post: c.loop.Post, Log: log})
+	c.network = peers.New(peers.Settings{Post: c.loop.Post, Log: log, Budget: budget})
 	c.reads = front.PlatformReader(ReaderSettings{Settings: settings, Post: c.loop.Post, Log: log})
 	if front.ProbeUpstream {
 		c.probe = health.New(health.Settings{Upstream: settings.Upstream, Client: http.DefaultClient, Post: c.loop.Post})
--- a/cftd/start/main.go
+++ b/cftd/start/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -121,6 +122,7 @@
 	log := newLog(settings.Log, sink).With(field.Daemon, settings.Name)
 	defer startSink(sink, out, log)()
 	go checkSettingsOnHangup(options.Settings, settings, log)
+	debug.SetMemoryLimit(settings.Limits.RuntimeBytes())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := Serve(ctx, front, settings, options, log); err != nil {
--- a/cftd/start/serve.go
+++ b/cftd/start/serve.go
@@ -4,27 +4,20 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"comfreytack/cftd/relay"
 	"comfreytack/cftd/talk"
 	"comfreytack/core/setup"
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	// exchangeTimeout applies to exchanges that are not calls; a call has its deadline instead.
-	exchangeTimeout = 10 * time.Second
-	idleTimeout     = 2 * time.Minute
-	maxHeaderBytes  = 64 << 10
-	// operatorsServer is the index of the operators' port among the HTTP servers, and peerListener that of the peer port
+	// operatorsIndex is the index of the operators' port among the HTTP servers, and peerListener that of the peer port
 	// among the listeners, after those of the HTTP servers.
-	operatorsServer = 2
-	peerListener    = 3
+	operatorsIndex = 2
+	peerListener   = 3
 )
 
 // Serve runs the daemon until ctx ends, and then waits for the work in flight.
@@ -43,9 +36,9 @@
 	var running errgroup.Group
 	running.Go(func() error { return parts.control(control, listeners[peerListener]) })
 	running.Go(func() error { parts.probeGates(control); return nil })
-	servers := newServers(parts, stopper)
-	for i, server := range servers {
-		running.Go(func() error { return ignoreClosed(server.Serve(relay.Guard(listeners[i]))) })
+	stopper.refuse, stopper.finish, stopper.servers = parts.refuse, parts.finish, parts.servers
+	for i, server := range parts.servers {
+		running.Go(func() error { return server.Serve(listeners[i]) })
 	}
 	log.Info("started", "name", settings.Name, "service", settings.Service, "callers", settings.Callers, "version", Version)
 	<-ctx.Done()
@@ -59,47 +52,14 @@
 	return err
 }
 
-// newServers returns the servers of the callers', the gate's and the operators' port, and makes them known to the
-// stopper.
-func newServers(parts *parts, stopper *stopper) []*http.Server {
-	stopper.refuse, stopper.finish = parts.refuse, parts.finish
-	stopper.servers = []*http.Server{
-		newServer(closeWhen(&stopper.lameDuck, parts.callers)),
-		newServer(closeWhen(&stopper.refusing, parts.gate)),
-		newServer(parts.operators),
-	}
-	stopper.servers[0].ConnState = stopper.trackCaller
-	stopper.servers[1].ConnState = stopper.trackUnused
-	return stopper.servers
-}
-
-func listen(settings setup.Settings) ([]net.Listener, error) {
-	var listeners []net.Listener
+func listen(settings setup.Settings) ([]*net.TCPListener, error) {
+	var listeners []*net.TCPListener
 	for _, address := range []string{string(settings.Callers), string(settings.Gate), string(settings.Operators), string(settings.Peer)} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", address)
 		}
-		listeners = append(listeners, listener)
+		listeners = append(listeners, listener.(*net.TCPListener))
 	}
 	return listeners, nil
 }
-
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       exchangeTimeout,
-		WriteTimeout:      exchangeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         relay.GuardState,
-	}
-}
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/cftd/start/stop.go
+++ b/cftd/start/stop.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"comfreytack/cftd/relay"
+	"comfreytack/cftd/intake"
 	"comfreytack/core/traffic/idle"
 )
 
@@ -41,35 +39,16 @@
 	lameDuck atomic.Bool
 	// refusing is true when the gate takes no new calls.
 	refusing atomic.Bool
-	// callers counts the connections of callers, and work the calls at the gate.
-	callers idle.Counter
-	work    idle.Counter
-	// unused has the connections of callers and of other daemons that have carried no request yet.
-	unused  unusedConns
-	servers []*http.Server
+	// work counts the calls at the gate.
+	work idle.Counter
+	// servers has those of the callers', the gate's and the operators' port, in this order.
+	servers []*intake.Server
 	// refuse makes the gate take no new calls, and announces that to other daemons.
 	refuse func()
 	// finish waits for keyed calls whose callers have disconnected.
 	finish func(context.Context)
 }
 
-// trackCaller counts the connections of callers.
-func (s *stopper) trackCaller(conn net.Conn, state http.ConnState) {
-	s.trackUnused(conn, state)
-	switch state {
-	case http.StateNew:
-		s.callers.Enter()
-	case http.StateClosed, http.StateHijacked:
-		s.callers.Leave()
-	}
-}
-
-// trackUnused notes which connections have carried no request yet.
-func (s *stopper) trackUnused(conn net.Conn, state http.ConnState) {
-	relay.GuardState(conn, state)
-	s.unused.track(conn, state)
-}
-
 // stop goes through the steps and returns when the ports are closed, at the latest after the given time. The error says
 // that work was still in flight then.
 func (s *stopper) stop(within time.Duration) error {
@@ -81,7 +60,7 @@
 	s.refusing.Store(true)
 	linger, cancelLinger := context.WithTimeout(ctx, min(closeLinger, within/closeLingerDivisor))
 	defer cancelLinger()
-	s.callers.Wait(linger)
+	s.servers[0].Wait(linger)
 	// The ports stay open for calls that the upstream makes while it finishes its work.
 	s.work.Wait(ctx)
 	return s.shutDown(ctx)
@@ -91,25 +70,13 @@
 // callers have disconnected. The operators' port closes last.
 func (s *stopper) shutDown(ctx context.Context) error {
 	var closing errgroup.Group
-	for _, server := range s.servers[:operatorsServer] {
+	for _, server := range s.servers[:operatorsIndex] {
 		closing.Go(func() error { return server.Shutdown(ctx) })
 	}
-	s.unused.close()
 	err := closing.Wait()
 	s.finish(ctx)
 	operatorsCtx, cancelOperators := context.WithTimeout(context.Background(), operatorsStopTimeout)
 	defer cancelOperators()
-	_ = s.servers[operatorsServer].Shutdown(operatorsCtx)
+	_ = s.servers[operatorsIndex].Shutdown(operatorsCtx)
 	return errors.Wrap(err, "work in flight did not end within stop_ms")
 }
-
-// closeWhen asks clients to close their connections once the flag is set, so that no connection is closed later with a
-// request on its way.
-func closeWhen(flag *atomic.Bool, handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if flag.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -2,7 +2,6 @@
 package setup
 
 import (
-	"cmp"
 	"fmt"
 	"os"
 	"strconv"
@@ -84,8 +83,7 @@
 	if err := strict.Decode(file, data, &settings); err != nil {
 		return Settings{}, err
 	}
-	settings.Limits.MemoryMB = cmp.Or(settings.Limits.MemoryMB, defaultMemoryMB)
-	settings.Limits.Descriptors = cmp.Or(settings.Limits.Descriptors, defaultDescriptors)
+	settings.Limits = settings.Limits.OrDefault()
 	for _, check := range []func(Settings) (field, found, allowed string){
 		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLimits, checkLog,
 	} {
