Keep a slot for calls inside requests, and pace large answers to the machine's link

The answers of the file service's servers wait behind downloads in front of links of 17 Mbit/s; even refusals by its gates took 95 ms. Calls of stock-lookups found all usable slots of ledger taken by work of its own.

Ruled out: nested calls are recognised (their IDs name the parent), and their retries were not short in these seconds.

Change: core/command/uplink paces the parts of large answers that a gate sends after their first 16 KB, at 85% of limits.bandwidth_mbps (a new setting, filled in from the platform's; without it nothing waits). Gates keep one of the unused published slots for nested calls.

No test changed.

--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -11,6 +11,7 @@
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/relay"
 	"comfreytack/cftd/talk"
+	"comfreytack/core/command/uplink"
 	"comfreytack/core/model"
 	"comfreytack/core/query/pace"
 	"comfreytack/core/traffic/flight"
@@ -41,6 +42,8 @@
 	Flight *flight.Tracker
 	// Work counts the calls that wait or run here.
 	Work *idle.Counter
+	// Uplink shares the machine's link among the answers to other daemons.
+	Uplink *uplink.Link
 }
 
 // Holder admits calls: it queues each until a slot of the upstream is free, or refuses it.
--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"comfreytack/cftd/relay"
 	"comfreytack/cftd/talk"
@@ -46,6 +47,7 @@
 		relay.WriteFailure(w, failure)
 		return
 	}
+	answer.Body = g.settings.Uplink.Read(answer.Body, callClock{ctx: ctx, now: g.settings.Now})
 	relay.EnableDuplex(w, body)
 	w.Header().Set(wire.HeaderVerdict, model.Ran.String())
 	w.Header().Set(wire.HeaderReason, model.NoReason.String())
@@ -53,3 +55,22 @@
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// callClock waits no longer than a call lasts. It implements uplink.Clock.
+type callClock struct {
+	ctx context.Context
+	now func() time.Time
+}
+
+// Now reads the clock.
+func (c callClock) Now() time.Time { return c.now() }
+
+// Wait waits for the given time, or returns an error when the call ends first.
+func (c callClock) Wait(wait time.Duration) error {
+	select {
+	case <-time.After(wait):
+		return nil
+	case <-c.ctx.Done():
+		return c.ctx.Err()
+	}
+}
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -30,6 +30,7 @@
 	"comfreytack/core/command/poison"
 	"comfreytack/core/command/prior"
 	"comfreytack/core/command/probe"
+	"comfreytack/core/command/uplink"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/query/route"
@@ -93,6 +94,8 @@
 	gateTransport *http.Transport
 	loads         *load.Tracker
 	probeBudget   *probe.Budget
+	// uplink shares the machine's link among the answers of the gate.
+	uplink *uplink.Link
 	// stopper stops the daemon.
 	stopper *stopper
 }
@@ -116,9 +119,13 @@
 		gateTransport: relay.NewTransport(gateConnections, gateIdleTimeout),
 		loads:         load.New(self, load.DefaultSettings()),
 		probeBudget:   probe.New(time.Now(), probe.DefaultSettings()),
+		uplink:        uplink.New(settings.Limits.BandwidthMbps),
 		stopper:       stopper,
 	}
 	plane.registerMetrics(deps.meter)
+	deps.meter.Watch("comfreytack_uplink_delayed_us_total", "Time that parts of large answers waited for the machine's link, in microseconds.", func() uint64 {
+		return uint64(deps.uplink.Delayed().Microseconds())
+	})
 	if front.LinesDropped != nil {
 		deps.meter.Watch("comfreytack_log_lines_dropped_total", "Log lines over the bound, or that nobody read.", front.LinesDropped)
 	}
@@ -167,6 +174,7 @@
 		Meter:     deps.meter,
 		Pace:      newPace(deps),
 		Work:      &deps.stopper.work,
+		Uplink:    deps.uplink,
 		Flight: flight.New(flight.Settings{
 			Self:            deps.self,
 			Detector:        deps.detector,
--- a/core/command/admit/ranked_test.go
+++ b/core/command/admit/ranked_test.go
@@ -152,3 +152,50 @@
 		})
 	}
 }
+
+// TestSlotForNestedTickets checks that the slot above the others goes only to a call of work that has begun.
+func TestSlotForNestedTickets(t *testing.T) {
+	const slots = 2
+	tests := []struct {
+		name    string
+		running int
+		ticket  admit.Ticket
+		want    admit.Action
+	}{
+		{name: "a free slot", running: slots - 1, ticket: rankedTicket(9, 0, time.Second), want: admit.Start},
+		{name: "all slots in use", running: slots, ticket: rankedTicket(9, 0, time.Second), want: admit.Refuse},
+		{name: "a nested ticket when all are in use", running: slots, ticket: nested(rankedTicket(9, 2, time.Second)), want: admit.Start},
+		{name: "a nested ticket when its slot is in use too", running: slots + 1, ticket: nested(rankedTicket(9, 2, time.Second)), want: admit.Refuse},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			gate := admit.New(slots, admit.NewRanked(func() time.Time { return rankedNow }))
+			gate.SetLimits(rankedNow, slots, map[model.Customer]model.Limits{"any": {Weight: 1, Queue: 4, LongSlots: 1}})
+			gate.SetNested(rankedNow, slots+1)
+			for i := range test.running {
+				gate.Arrive(rankedNow, nested(rankedTicket(uint64(i+1), 2, time.Second)))
+			}
+			qt.Assert(t, gate.Arrive(rankedNow, test.ticket).Action, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestNestedTicketTakesTheSlotThatIsFreed checks which of two waiting tickets starts when all slots but the one for nested
+// tickets are in use.
+func TestNestedTicketTakesTheSlotThatIsFreed(t *testing.T) {
+	gate := admit.New(1, admit.NewRanked(func() time.Time { return rankedNow }))
+	gate.SetLimits(rankedNow, 1, map[model.Customer]model.Limits{"any": {Weight: 1, Queue: 4, LongSlots: 1}})
+	gate.SetNested(rankedNow, 2)
+	forced := func(ticket admit.Ticket) admit.Ticket {
+		ticket.Forced = true
+		return ticket
+	}
+	for id := range uint64(2) {
+		gate.Arrive(rankedNow, nested(rankedTicket(id+1, 2, 5*time.Second)))
+	}
+	qt.Assert(t, gate.Arrive(rankedNow, forced(rankedTicket(3, 0, 5*time.Second))).Action, qt.Equals, admit.Wait)
+	qt.Assert(t, gate.Arrive(rankedNow, forced(nested(rankedTicket(4, 2, 5*time.Second)))).Action, qt.Equals, admit.Wait)
+	qt.Assert(t, gate.Finish(rankedNow, 1), qt.DeepEquals, []admit.Decision{{Ticket: 4, Action: admit.Start}})
+	qt.Assert(t, gate.Finish(rankedNow, 2), qt.HasLen, 0)
+	qt.Assert(t, gate.Finish(rankedNow, 4), qt.DeepEquals, []admit.Decision{{Ticket: 3, Action: admit.Start}})
+}
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -21,6 +21,7 @@
 	defaultDescriptors = 4096
 	minDescriptors     = 256
 	maxDescriptors     = 1 << 20
+	maxBandwidthMbps   = 10_000_000
 )
 
 // Settings configures one daemon at its start. No setting changes a customer's limits.
@@ -53,12 +54,14 @@
 	Log Log `json:"log,omitempty"`
 }
 
-// Limits has what the operating system lets the daemon's process use. The daemon stays below both.
+// Limits has what the operating system and the machine let the daemon's process use. The daemon stays below each.
 type Limits struct {
 	// MemoryMB is the memory of the process in MB of 2^20 bytes, from 32; zero means defaultMemoryMB.
 	MemoryMB int `json:"memory_mb,omitzero"`
 	// Descriptors is how many files and sockets the process may have open, from 256; zero means defaultDescriptors.
 	Descriptors int `json:"descriptors,omitzero"`
+	// BandwidthMbps is the bandwidth of the machine's link in Mbit/s; zero means that it is not known.
+	BandwidthMbps float64 `json:"bandwidth_mbps,omitzero"`
 }
 
 // Log configures the log output.
@@ -181,6 +184,10 @@
 			return limit.field, strconv.Itoa(limit.value), fmt.Sprintf("%d to %d", limit.min, limit.max)
 		}
 	}
+	if s.Limits.BandwidthMbps < 0 || s.Limits.BandwidthMbps > maxBandwidthMbps {
+		found := strconv.FormatFloat(s.Limits.BandwidthMbps, 'g', -1, 64)
+		return "limits.bandwidth_mbps", found, fmt.Sprintf("0 to %d Mbit/s", maxBandwidthMbps)
+	}
 	return "", "", ""
 }
 
