Decide for the last time right before the first byte of each send

Proved by cftd/gate TestNothingIsSentAfterAChange: on the code before, all eight rows (held for a slowdown or waiting for a connection; leaving, replaced, paused, stopping) were sent and answered ("none" in place of the refusal).

Ruled out: a check after waitOutSlowdown alone. The transport waits for a connection (MaxConnsPerHost), dials, and countingConn.Write waits until earlier answers have been read; all three come later. So relay.Request.Confirm is called inside countingConn.Write, under the connection's lock, immediately before the first byte. For a streamed body net/http flushes the head before it reads the body, so no wait for the caller lies between.

Change: core/query/final decides (stopping, leaving, replaced instance, deadline, paused daemon) and replaces the copies in core/traffic/hold. Holder has Check (no effect; also at each turn of the wait for a slowdown, so that a held call leaves at once for another upstream) and Confirm (once for each send, right before it). A stopping daemon's late refusal now has reason stopping, as at arrival. progress.wrote and abort let go of their lock before they take the connection's, since Write now holds that one while it asks.

--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"comfreytack/cftd/health"
@@ -46,6 +47,10 @@
 // Holder admits calls: it queues each until a slot of the upstream is free, or refuses it.
 type Holder interface {
 	Enter(ctx context.Context, call model.Call) (hold.Slot, *model.Failure)
+	// Check returns why a call that holds a slot may not be sent now.
+	Check(ctx context.Context, call model.Call) *model.Failure
+	// Confirm decides for the last time; it is called once for each send, immediately before the first byte.
+	Confirm(ctx context.Context, call model.Call) *model.Failure
 	Report() model.GateReport
 }
 
@@ -130,10 +135,15 @@
 }
 
 // waitOutSlowdown delays a call that holds a slot while the upstream's machine is slowed and waiting costs less than
-// starting now. It decides anew every health.PaceMaxAge.
+// starting now. It decides anew every health.PaceMaxAge, and gives the call up when it may no longer be sent, so that
+// its entry learns of that at once.
 func (g *Gate[H, D]) waitOutSlowdown(ctx context.Context, call model.Call, slot hold.Slot) *model.Failure {
 	began := g.settings.Now()
 	for {
+		if failure := g.hold.Check(ctx, call); failure != nil {
+			slot.Release(hold.Useless)
+			return failure
+		}
 		now := g.settings.Now()
 		switch pace.OnStart(now, g.settings.Pace.Read(ctx), call, slot.ExpectedDuration, now.Sub(began)) {
 		case pace.Start:
@@ -146,8 +156,6 @@
 		select {
 		case <-time.After(health.PaceMaxAge):
 		case <-ctx.Done():
-			slot.Release(hold.Useless)
-			return &model.Failure{Verdict: model.NotRun, Reason: model.TooLate, Cause: ctx.Err()}
 		}
 	}
 }
@@ -158,10 +166,20 @@
 	wire.RemoveOwnHeaders(request.Header)
 	g.settings.Dialect.SetUpstream(request.Header, call, g.settings.Now())
 	request.AllowCloseDelimited = g.settings.Dialect.AllowCloseDelimited()
+	var refusal atomic.Pointer[model.Failure]
+	request.Confirm = func() *model.Failure {
+		failure := g.hold.Confirm(ctx, call)
+		refusal.Store(failure)
+		return failure
+	}
 	request.CheckAnswer = func(answer *http.Response) *model.Failure {
 		return g.settings.Dialect.CheckAnswer(call, g.settings.Snapshot().Services[call.Service], answer)
 	}
 	answer, failure := relay.RoundTrip(ctx, g.settings.Transport, request, model.UpstreamDied)
+	if failure != nil && failure == refusal.Load() {
+		g.settings.Meter.Decision(call, failure.Reason)
+		g.logDecision(call, hold.Slot{}, failure)
+	}
 	if failure != nil {
 		return nil, failure
 	}
--- /dev/null
+++ b/cftd/gate/gate_test.go
@@ -0,0 +1,228 @@
+package gate_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	mapset "github.com/deckarep/golang-set/v2"
+	qt "github.com/frankban/quicktest"
+
+	"comfreytack/cftd/gate"
+	"comfreytack/cftd/health"
+	"comfreytack/cftd/meter"
+	"comfreytack/cftd/relay"
+	"comfreytack/cftd/talk"
+	"comfreytack/core/command/adapt"
+	"comfreytack/core/command/admit"
+	"comfreytack/core/command/class"
+	"comfreytack/core/command/poison"
+	"comfreytack/core/model"
+	"comfreytack/core/traffic/flight"
+	"comfreytack/core/traffic/hold"
+	"comfreytack/core/traffic/idle"
+	"comfreytack/core/traffic/learn"
+)
+
+const (
+	self        = model.UpstreamName("reservas-1")
+	paceHeader  = "X-Pace"
+	healthPath  = "/health"
+	callTimeout = time.Minute
+	// fewPolls is how many queries of the pace show that a call is being held back.
+	fewPolls = 3
+	poll     = time.Millisecond
+	// workTime is how long a call takes at the usual pace, and slowPercent a pace at which that is longer than a test.
+	workTime    = 10 * time.Millisecond
+	slowPercent = 1_000_000
+)
+
+// fixture is a gate of two slots beside an upstream that reports its pace.
+type fixture struct {
+	gate     *gate.Gate[*hold.Gate[*admit.Ranked, adapt.Fixed], talk.Native]
+	snapshot atomic.Pointer[model.Snapshot]
+	percent  atomic.Int64
+	// polls counts the queries of the pace, and received the other requests that the upstream got.
+	polls, received atomic.Int64
+	// answer lets one request be answered that the upstream holds; requests for "/" are answered at once.
+	answer chan struct{}
+}
+
+func newFixture(t *testing.T, connections int) *fixture {
+	t.Helper()
+	f := &fixture{answer: make(chan struct{})}
+	f.percent.Store(100)
+	f.snapshot.Store(&model.Snapshot{
+		Self:        model.Upstream{Name: self, Service: "reservas", Instance: "i-1"},
+		Revision:    1,
+		Slots:       2,
+		Services:    map[model.ServiceName]model.Service{"reservas": {Name: "reservas", Slots: 2}},
+		Limits:      map[model.Customer]model.Limits{"police": {Weight: 1, Queue: 4, LongSlots: 1}},
+		Leaving:     mapset.NewThreadUnsafeSet[model.UpstreamName](),
+		Ready:       true,
+		PublishedAt: time.Now().Add(callTimeout),
+	})
+	server := httptest.NewServer(http.HandlerFunc(f.serve))
+	t.Cleanup(server.Close)
+	address := model.Address(strings.TrimPrefix(server.URL, "http://"))
+	pace := health.NewPace(health.PaceSettings{
+		Upstream: address,
+		Path:     func() string { return healthPath },
+		Client:   server.Client(),
+		Timeout:  time.Minute,
+		Percent: func(header http.Header) int {
+			percent, _ := strconv.Atoi(header.Get(paceHeader))
+			return percent
+		},
+		Now: time.Now,
+	})
+	pace.Observe(100)
+	transport := relay.NewTransport(connections, time.Minute)
+	t.Cleanup(transport.CloseIdleConnections)
+	view := f.snapshot.Load
+	f.gate = gate.New(gate.Settings[talk.Native]{
+		Upstream:  address,
+		Transport: transport,
+		Snapshot:  view,
+		Now:       time.Now,
+		Log:       slog.New(slog.DiscardHandler),
+		Meter:     meter.New(),
+		Pace:      pace,
+		Work:      &idle.Counter{},
+		Flight: flight.New(flight.Settings{
+			Detector:        poison.New(poison.DefaultSettings()),
+			DetectorChanged: func() {},
+			Now:             time.Now,
+			Down:            func() bool { return false },
+		}),
+	}, hold.New(hold.Settings{
+		Snapshot:    view,
+		Now:         time.Now,
+		Suspended:   func() time.Duration { return 0 },
+		UsableShare: 1,
+		Classifier:  learn.New(view, class.New(16)),
+	}, admit.New(2, admit.NewRanked(time.Now)), adapt.New(2, 2, adapt.Fixed{})))
+	return f
+}
+
+func (f *fixture) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath {
+		f.polls.Add(1)
+		w.Header().Set(paceHeader, strconv.FormatInt(f.percent.Load(), 10))
+		return
+	}
+	f.received.Add(1)
+	time.Sleep(workTime)
+	if r.URL.Path != "/" {
+		<-f.answer
+	}
+}
+
+// run sends a call through the gate and returns why it failed, or NoReason when it was answered.
+func (f *fixture) run(ctx context.Context, path string) model.Reason {
+	now := time.Now()
+	call := model.Call{
+		ID: "1", Customer: "police", Service: "reservas", Route: "book", Instance: "i-1", Forced: true,
+		Target: now.Add(callTimeout), Deadline: now.Add(callTimeout),
+	}
+	answer, failure := f.gate.Run(ctx, call, relay.Request{
+		Method: http.MethodPost, Target: &url.URL{Path: path}, Header: http.Header{}, Body: &relay.Body{},
+	})
+	if failure != nil {
+		return failure.Reason
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	return model.NoReason
+}
+
+// start is run in a goroutine of its own.
+func (f *fixture) start(ctx context.Context, path string) <-chan model.Reason {
+	outcome := make(chan model.Reason, 1)
+	go func() { outcome <- f.run(ctx, path) }()
+	return outcome
+}
+
+// publish changes the control state.
+func (f *fixture) publish(change func(*model.Snapshot)) {
+	next := *f.snapshot.Load()
+	next.Leaving = next.Leaving.Clone()
+	change(&next)
+	f.snapshot.Store(&next)
+}
+
+// changes of the control state after which nothing may be sent.
+var changes = []struct {
+	name   string
+	change func(*model.Snapshot)
+	want   model.Reason
+}{
+	{name: "the upstream leaves", change: func(s *model.Snapshot) { s.Leaving.Add(self) }, want: model.UpstreamLeaving},
+	{name: "the upstream is replaced", change: func(s *model.Snapshot) { s.Self.Instance = "i-2" }, want: model.UpstreamReplaced},
+	{name: "the daemon was paused", change: func(s *model.Snapshot) { s.Suspect = true }, want: model.DaemonPaused},
+	{name: "the daemon stops", change: func(s *model.Snapshot) { s.Stopping = true }, want: model.Stopping},
+}
+
+// TestNothingIsSentAfterAChange checks that a call that the gate has admitted, and that then waits before it is sent,
+// isn't sent when it may no longer be.
+func TestNothingIsSentAfterAChange(t *testing.T) {
+	waits := []struct {
+		name string
+		// wait starts a call, waits until it is delayed, and returns a function that ends what delays it.
+		wait func(t *testing.T, f *fixture) (<-chan model.Reason, func())
+	}{
+		{name: "held for a slowdown", wait: holdForSlowdown},
+		{name: "waiting for a connection", wait: waitForConnection},
+	}
+	for _, wait := range waits {
+		for _, test := range changes {
+			t.Run(wait.name+", "+test.name, func(t *testing.T) {
+				f := newFixture(t, 1)
+				outcome, release := wait.wait(t, f)
+				before := f.received.Load()
+				f.publish(test.change)
+				release()
+				qt.Assert(t, <-outcome, qt.Equals, test.want)
+				qt.Assert(t, f.received.Load(), qt.Equals, before)
+			})
+		}
+	}
+}
+
+func holdForSlowdown(t *testing.T, f *fixture) (<-chan model.Reason, func()) {
+	// The gate learns how long the work takes.
+	qt.Assert(t, f.run(t.Context(), "/"), qt.Equals, model.NoReason)
+	f.percent.Store(slowPercent)
+	time.Sleep(health.PaceMaxAge)
+	outcome := f.start(t.Context(), "/")
+	waitUntil(func() bool { return f.gate.Report().InFlight == 1 })
+	polled := f.polls.Load()
+	waitUntil(func() bool { return f.polls.Load() >= polled+fewPolls })
+	return outcome, func() { f.percent.Store(100) }
+}
+
+func waitForConnection(t *testing.T, f *fixture) (<-chan model.Reason, func()) {
+	first := f.start(t.Context(), "/held")
+	waitUntil(func() bool { return f.received.Load() == 1 })
+	outcome := f.start(t.Context(), "/")
+	waitUntil(func() bool { return f.gate.Report().InFlight == 2 })
+	return outcome, func() {
+		f.answer <- struct{}{}
+		qt.Check(t, <-first, qt.Equals, model.NoReason)
+	}
+}
+
+// waitUntil waits for a condition that holds sooner or later.
+func waitUntil(condition func() bool) {
+	for !condition() {
+		time.Sleep(poll)
+	}
+}
--- a/cftd/relay/conn.go
+++ b/cftd/relay/conn.go
@@ -6,8 +6,13 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"comfreytack/core/model"
 )
 
+// errRefused closes a connection on which a request was about to be written that was not confirmed.
+var errRefused = errors.New("request not confirmed")
+
 // errUnsolicited closes a connection on which bytes arrived that belong to no request's answer.
 var errUnsolicited = errors.New("received bytes before a request was written")
 
@@ -26,7 +31,9 @@
 	reading bool
 	// requestWritten is true once a byte of the current request was written.
 	requestWritten bool
-	closed         bool
+	// confirm decides immediately before its first byte whether the current request is written; nil after that.
+	confirm func() bool
+	closed  bool
 }
 
 func newCountingConn(conn net.Conn) *countingConn {
@@ -46,6 +53,14 @@
 		c.mu.Unlock()
 		return 0, net.ErrClosed
 	}
+	if confirm := c.confirm; confirm != nil {
+		c.confirm = nil
+		if !confirm() {
+			c.closed = true
+			c.mu.Unlock()
+			return 0, errRefused
+		}
+	}
 	c.requestWritten = true
 	c.written += int64(len(data))
 	c.mu.Unlock()
@@ -78,10 +93,11 @@
 }
 
 // beginRequest starts a new request and returns the number of bytes written before it.
-func (c *countingConn) beginRequest() int64 {
+func (c *countingConn) beginRequest(confirm func() bool) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestWritten = false
+	c.confirm = confirm
 	return c.written
 }
 
@@ -105,9 +121,14 @@
 // progress tracks whether any byte of one request was written. The transport calls useConn before it writes, and again
 // if it moves to another connection because it wrote nothing on the first.
 type progress struct {
+	// confirm decides whether the request is written; nil confirms it.
+	confirm func() *model.Failure
+
 	mu            sync.Mutex
 	conn          *countingConn
 	writtenBefore int64
+	// refused is why the request was not confirmed, or nil.
+	refused *model.Failure
 }
 
 // useConn records the connection that the request will use.
@@ -116,25 +137,49 @@
 	if !ok {
 		return
 	}
-	writtenBefore := counting.beginRequest()
+	writtenBefore := counting.beginRequest(p.confirmed)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conn = counting
 	p.writtenBefore = writtenBefore
 }
 
-// wrote reports whether a byte of the request may have been sent.
-func (p *progress) wrote() bool {
+// confirmed reports whether the request may be written now.
+func (p *progress) confirmed() bool {
+	if p.confirm == nil {
+		return true
+	}
+	failure := p.confirm()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused = failure
+	return failure == nil
+}
+
+// refusal returns why the request was not confirmed, or nil.
+func (p *progress) refusal() *model.Failure {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.conn != nil && p.conn.writtenBytes() != p.writtenBefore
+	return p.refused
+}
+
+// wrote reports whether a byte of the request may have been sent.
+func (p *progress) wrote() bool {
+	conn, writtenBefore := p.current()
+	return conn != nil && conn.writtenBytes() != writtenBefore
 }
 
 // abort closes the connection, so that nothing more of the request is sent.
 func (p *progress) abort() {
+	if conn, _ := p.current(); conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// current returns the connection in use and the bytes that were written on it before the request. The lock is released,
+// because a connection holds its own lock while it calls confirmed.
+func (p *progress) current() (*countingConn, int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.conn != nil {
-		_ = p.conn.Close()
-	}
+	return p.conn, p.writtenBefore
 }
--- a/cftd/relay/roundtrip.go
+++ b/cftd/relay/roundtrip.go
@@ -84,6 +84,10 @@
 	// ExpectContinue sends "Expect: 100-continue", so that a body that can be sent only once is held back until the
 	// receiver asks for it.
 	ExpectContinue bool
+	// Confirm is called immediately before the first byte of the request is written, when a connection is ready and
+	// nothing waits any more; nil confirms every request. After a failure, whose verdict must be NotRun, nothing is
+	// written and the connection is closed. It must not block.
+	Confirm func() *model.Failure
 	// CheckAnswer returns a failure when the response is not an answer to this request; nil accepts every response.
 	// After a failure other than NotRun the connection is closed.
 	CheckAnswer func(answer *http.Response) *model.Failure
@@ -95,12 +99,15 @@
 // request was written or CheckAnswer says so. A failure of the connection after a byte was written has reason
 // lostReason, unless ctx has ended.
 func RoundTrip(ctx context.Context, transport *http.Transport, request Request, lostReason model.Reason) (*http.Response, *model.Failure) {
-	var sent progress
+	sent := progress{confirm: request.Confirm}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { sent.useConn(info.Conn) },
 	})
 	outgoing := outgoingRequest(request).WithContext(ctx)
 	answer, err := transport.RoundTrip(outgoing)
+	if failure := sent.refusal(); err != nil && failure != nil {
+		return nil, failure
+	}
 	if err != nil {
 		return nil, roundTripFailure(ctx, err, sent.wrote(), lostReason)
 	}
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -11,7 +11,7 @@
 	"comfreytack/core/command/adapt"
 	"comfreytack/core/command/admit"
 	"comfreytack/core/model"
-	"comfreytack/core/query/fresh"
+	"comfreytack/core/query/final"
 	"comfreytack/core/traffic/learn"
 )
 
@@ -95,7 +95,7 @@
 	if decision.Action == admit.Refuse {
 		return Slot{}, refusal(decision)
 	}
-	if failure := g.recheck(ctx, call); failure != nil {
+	if failure := g.Check(ctx, call); failure != nil {
 		g.finish(id, Useless)
 		return Slot{}, failure
 	}
@@ -122,7 +122,7 @@
 	report := g.gate.Report()
 	report.Upstream = snapshot.Self.Name
 	report.Incarnation = snapshot.Self.Incarnation
-	report.Leaving = isLeaving(snapshot)
+	report.Leaving = final.Leaving(snapshot)
 	report.Revision = snapshot.Revision
 	return report
 }
@@ -173,25 +173,6 @@
 	return <-wake
 }
 
-// recheck repeats the checks after the wait, because the daemon may have been paused since the decision.
-func (g *Gate[D, P]) recheck(ctx context.Context, call model.Call) *model.Failure {
-	now := g.settings.Now()
-	snapshot := g.settings.Snapshot()
-	switch {
-	case ctx.Err() != nil:
-		return &model.Failure{Verdict: model.NotRun, Reason: contextReason(ctx, model.TooLate)}
-	case !call.Deadline.After(now):
-		return &model.Failure{Verdict: model.NotRun, Reason: model.TooLate}
-	case isLeaving(snapshot):
-		return &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamLeaving}
-	case isReplaced(snapshot, call):
-		return &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamReplaced}
-	case fresh.Paused(now, g.settings.Suspended(), snapshot):
-		return &model.Failure{Verdict: model.NotRun, Reason: model.DaemonPaused}
-	}
-	return nil
-}
-
 func (g *Gate[D, P]) started(id uint64, call model.Call) time.Time {
 	now := g.settings.Now()
 	g.mu.Lock()
@@ -284,38 +265,6 @@
 	return max(1, reduced)
 }
 
-// rejectEarly returns why a call is rejected at arrival, without queueing, or nil.
-func rejectEarly(snapshot *model.Snapshot, call model.Call) *model.Failure {
-	switch {
-	case !snapshot.Ready:
-		return &model.Failure{Verdict: model.NotRun, Reason: model.NotReady}
-	case snapshot.Stopping:
-		return &model.Failure{Verdict: model.NotRun, Reason: model.Stopping}
-	case isLeaving(snapshot):
-		return &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamLeaving}
-	case isReplaced(snapshot, call):
-		return &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamReplaced}
-	}
-	return nil
-}
-
-// isReplaced reports whether the call is meant for another instance of the upstream than this daemon's local one.
-func isReplaced(snapshot *model.Snapshot, call model.Call) bool {
-	return call.Instance != "" && call.Instance != snapshot.Self.Instance
-}
-
-func isLeaving(snapshot *model.Snapshot) bool {
-	return snapshot.Stopping || snapshot.Leaving.Contains(snapshot.Self.Name)
-}
-
 func refusal(decision admit.Decision) *model.Failure {
 	return &model.Failure{Verdict: model.NotRun, Reason: decision.Reason, RetryAfter: decision.RetryAfter}
 }
-
-// contextReason returns why ctx ended: CallerGone if it was cancelled, else late.
-func contextReason(ctx context.Context, late model.Reason) model.Reason {
-	if ctx.Err() == context.Canceled {
-		return model.CallerGone
-	}
-	return late
-}
