Spend retries on the most urgent calls, up to the platform's share, and count no refusal as a run

Ruled out: routing to servers that do not reject (all do); refusing parents (more of them would not succeed, as what is allowed is a share of the calls that are made).

Change: retry_share in the settings, filled in from the platform's bounds, of which daemons earn 85%; the last retry of a bucket is for calls as urgent as any that asked within 2 s; a nested call has its parent's rank (flight.Running returns it), at gates and for retries; a refusal by the server before any work counts in the budget only, at most five a call.

Tests: TestScarceRetriesGoToTheMostUrgent, TestShedCallsAreNotRuns (both failed with the decision taken out) and rows of TestNext. Changed: calls of Withdraw pass a rank (the property test draws it); TestRuns also checks the rank.

--- a/cftd/entry/attempt.go
+++ b/cftd/entry/attempt.go
@@ -17,7 +17,8 @@
 type LocalGate interface {
 	Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure)
 	Report() model.GateReport
-	IsRunning(id string) bool
+	// Running reports whether the upstream is working on the request with the given ID, and that request's rank.
+	Running(id string) (rank int, running bool)
 }
 
 // attempter makes the attempts of one call at gates. It implements send.Attempter.
--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -79,7 +79,7 @@
 	if !call.Target.IsZero() {
 		call.Target = call.Target.Add(-e.settings.UsedTime.Estimate(began, call.Route, call.CallerTimeout))
 	}
-	call.Nested = call.Parent != "" && e.settings.Local.IsRunning(call.Parent)
+	e.joinParent(&call)
 	_, contracted := snapshot.Contracts[call.Customer]
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
@@ -116,6 +116,17 @@
 	}
 }
 
+// joinParent marks a call that the local upstream makes while it works on another one. It is as urgent as that one: it is
+// a part of its work.
+func (e *Entry[D]) joinParent(call *model.Call) {
+	if call.Parent == "" {
+		return
+	}
+	if rank, running := e.settings.Local.Running(call.Parent); running {
+		call.Nested, call.Rank = true, rank
+	}
+}
+
 // answer forwards an upstream's answer to the caller. When it returns a failure, a part of the answer may have been
 // sent, and the caller's connection has to be aborted.
 func (e *Entry[D]) answer(w http.ResponseWriter, call model.Call, answer *http.Response, verdict model.Verdict) *model.Failure {
--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -202,8 +202,10 @@
 	return &model.Failure{Verdict: model.MayHaveRun, Reason: model.UpstreamDied, Cause: body.ReadErr()}
 }
 
-// IsRunning reports whether the upstream is working on the request with the given ID.
-func (g *Gate[H, D]) IsRunning(id string) bool { return g.settings.Flight.IsRunning(id) }
+// Running reports whether the upstream is working on the request with the given ID, and that request's rank.
+func (g *Gate[H, D]) Running(id string) (rank int, running bool) {
+	return g.settings.Flight.Running(id)
+}
 
 // Report describes the gate's load to entries.
 func (g *Gate[H, D]) Report() model.GateReport {
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -55,6 +55,9 @@
 	gateIdleTimeout     = time.Minute
 	downRecheckInterval = 20 * time.Millisecond
 	maxLearntRoutes     = 1024
+	// usedRetryShare is how much of the allowed retries daemons use. The rest is for calls that requests make when they
+	// run once more: they count as retries too, and nobody sees that they are.
+	usedRetryShare = 0.85
 	// These bound what a home stores for each customer.
 	keysPerCustomer        = 1024
 	answerBytesPerCustomer = 128 << 10
@@ -266,6 +269,8 @@
 		Tracker:     deps.loads,
 		ProbeBudget: deps.probeBudget,
 		Retries:     budget.New(deps.front.Retries),
+
+		RetryPercent: int(usedRetryShare * deps.settings.RetryShare * 100),
 	}, route.New(policy))
 	return func(ctx context.Context, call model.Call, attempter send.Attempter[*http.Response]) (*http.Response, *model.Failure) {
 		return send.Send(ctx, sender, call, attempter)
--- a/core/command/budget/budget.go
+++ b/core/command/budget/budget.go
@@ -48,10 +48,16 @@
 	sweptAt time.Time
 }
 
+// urgentFor is how long a bucket keeps a retry for calls as urgent as one that asked for one.
+const urgentFor = 2 * time.Second
+
 // bucket is a token bucket that holds between 0 and Burst retries.
 type bucket struct {
 	hundredths int
 	usedAt     time.Time
+	// urgentRank is the most urgent rank that asked for a retry within urgentFor, and urgentAt when it last did.
+	urgentRank int
+	urgentAt   time.Time
 }
 
 // New returns Buckets in which every key has its reserve.
@@ -74,12 +80,23 @@
 	entry.hundredths = min(entry.hundredths+percent, b.settings.Burst*retryCost)
 }
 
-// Withdraw takes one retry from the bucket and reports whether there was one.
-func (b *Buckets) Withdraw(now time.Time, key Key) bool {
+// Withdraw takes one retry from the bucket for a call of the given rank and reports whether there was one. A call that is
+// less urgent than another one that asked within urgentFor leaves the last retry for such calls.
+//
+//	2 retries left, rank 1 asked lately: rank 2  ->  taken
+//	1 retry left, rank 1 asked lately: rank 2    ->  left for rank 1
+func (b *Buckets) Withdraw(now time.Time, key Key, rank int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entry := b.bucket(now, key)
-	if entry.hundredths < retryCost {
+	if rank <= entry.urgentRank || now.Sub(entry.urgentAt) >= urgentFor {
+		entry.urgentRank, entry.urgentAt = rank, now
+	}
+	cost := retryCost
+	if rank > entry.urgentRank {
+		cost += retryCost
+	}
+	if entry.hundredths < cost {
 		return false
 	}
 	entry.hundredths -= retryCost
--- a/core/command/budget/budget_test.go
+++ b/core/command/budget/budget_test.go
@@ -33,7 +33,7 @@
 			service := rapid.IntRange(0, settings.MaxKeys-1).Draw(t, "service")
 			key := budget.Key{Customer: "police", Service: model.ServiceName(fmt.Sprint(service))}
 			if rapid.Bool().Draw(t, "retry") {
-				if buckets.Withdraw(now, key) {
+				if buckets.Withdraw(now, key, rapid.IntRange(0, 2).Draw(t, "rank")) {
 					retries[key]++
 				}
 			} else {
@@ -54,7 +54,7 @@
 	now := time.Unix(1000, 0)
 	retries := 0
 	for i := range 1000 {
-		if buckets.Withdraw(now, budget.Key{Customer: model.Customer(fmt.Sprint(i))}) {
+		if buckets.Withdraw(now, budget.Key{Customer: model.Customer(fmt.Sprint(i))}, 0) {
 			retries++
 		}
 	}
@@ -66,3 +66,36 @@
 		t.Fatalf("%d keys after the idle time", buckets.Size())
 	}
 }
+
+// TestScarceRetriesGoToTheMostUrgent checks who gets the retries of a bucket that does not have enough for all. Each step
+// is a call of a rank that asks for one.
+func TestScarceRetriesGoToTheMostUrgent(t *testing.T) {
+	type step struct {
+		after time.Duration
+		rank  int
+		want  bool
+	}
+	tests := []struct {
+		name    string
+		retries int
+		steps   []step
+	}{
+		{name: "all alike", retries: 2, steps: []step{{rank: 2, want: true}, {rank: 2, want: true}, {rank: 2}}},
+		{name: "the last one is for the more urgent", retries: 2, steps: []step{{rank: 1, want: true}, {rank: 2}, {rank: 1, want: true}}},
+		{name: "enough for both", retries: 3, steps: []step{{rank: 1, want: true}, {rank: 2, want: true}, {rank: 2}, {rank: 1, want: true}}},
+		{name: "no urgent call for long", retries: 2, steps: []step{{rank: 1, want: true}, {after: 3 * time.Second, rank: 2, want: true}}},
+		{name: "the most urgent of three", retries: 2, steps: []step{{rank: 2, want: true}, {rank: 0, want: true}, {rank: 1}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			buckets := budget.New(budget.Settings{MaxKeys: 1, Idle: time.Minute, Reserve: test.retries, Burst: test.retries})
+			now := time.Unix(1000, 0)
+			for i, step := range test.steps {
+				now = now.Add(step.after)
+				if got := buckets.Withdraw(now, budget.Key{Service: "ledger"}, step.rank); got != step.want {
+					t.Errorf("step %d: got %v, want %v", i, got, step.want)
+				}
+			}
+		})
+	}
+}
--- a/core/query/retry/retry.go
+++ b/core/query/retry/retry.go
@@ -15,6 +15,10 @@
 // MaxAttempts bounds the attempts of one call at one hop, the first one included.
 const MaxAttempts = 3
 
+// MaxShed bounds the attempts of one call that an upstream refused before any work. They do not count towards MaxAttempts:
+// each is over at once and costs the upstream next to nothing, and the budget bounds them all the same.
+const MaxShed = 5
+
 // MaxCrashes bounds how many attempts of one call may end with a crash of their upstream and still be followed by
 // another.
 const MaxCrashes = 1
@@ -40,9 +44,11 @@
 	Idempotent bool
 	// Attempts counts the attempts that have failed, this one included; at least 1.
 	Attempts int
+	// Shed counts those of them that an upstream refused before any work, this one included.
+	Shed int
 	// Crashes counts those of them for which MayHaveCrashed holds, this one included.
 	Crashes int
-	// Reached counts those of them that may have reached an upstream, this one included.
+	// Reached counts those of them that an upstream may have begun, this one included.
 	Reached int
 	// MaxReached bounds Reached; zero means no bound.
 	MaxReached int
@@ -78,7 +84,7 @@
 	switch {
 	case failure.NoRetry:
 		return false
-	case state.Attempts >= MaxAttempts:
+	case state.Attempts-state.Shed >= MaxAttempts, state.Shed > MaxShed:
 		return false
 	case state.Untried < 1:
 		return false
--- a/core/query/retry/retry_test.go
+++ b/core/query/retry/retry_test.go
@@ -49,6 +49,9 @@
 		{name: "not without budget", state: firstAttempt, failure: shed, noBudget: true, want: retry.GiveUp},
 		{name: "not at the bound of reached upstreams", state: with(func(s *retry.State) { s.Reached, s.MaxReached = 2, 2 }), failure: shed},
 		{name: "below the bound of reached upstreams", state: with(func(s *retry.State) { s.Reached, s.MaxReached = 1, 2 }), failure: shed, want: retry.Again},
+		{name: "refusals by upstreams do not use up attempts", state: with(func(s *retry.State) { s.Attempts, s.Shed = 3, 3 }), failure: shed, want: retry.Again},
+		{name: "attempts besides refusals by upstreams are used up", state: with(func(s *retry.State) { s.Attempts, s.Shed = 5, 2 }), failure: shed},
+		{name: "refusals by upstreams are bounded", state: with(func(s *retry.State) { s.Attempts, s.Shed = 6, 6 }), failure: shed},
 		{name: "a refusal marked as final is not retried", state: firstAttempt, failure: model.Failure{Reason: model.QueueFull, NoRetry: true}},
 		{name: "not after the last attempt", state: with(func(s *retry.State) { s.Attempts = 3 }), failure: refused},
 		{name: "not when all were tried", state: with(func(s *retry.State) { s.Untried = 0 }), failure: refused},
@@ -143,7 +146,7 @@
 			return &failure
 		}
 		budgets := budget.New(budget.Settings{MaxKeys: 1, Idle: time.Hour, Reserve: 50, Burst: 50})
-		spend := func() bool { return budgets.Withdraw(now, budget.Key{Customer: "a"}) }
+		spend := func() bool { return budgets.Withdraw(now, budget.Key{Customer: "a"}, 0) }
 		c.next = func(state retry.State, failure *model.Failure) retry.Decision {
 			return retry.Next(now, state, failure, spend)
 		}
--- a/core/query/route/model_test.go
+++ b/core/query/route/model_test.go
@@ -263,7 +263,7 @@
 }
 
 func (w *simulation) hedge(d *daemon, c *call) {
-	if !c.done && len(c.open) > 0 && w.budgets.Withdraw(w.time(), budget.Key{Customer: "a"}) {
+	if !c.done && len(c.open) > 0 && w.budgets.Withdraw(w.time(), budget.Key{Customer: "a"}, 0) {
 		if w.measured(c) {
 			w.result.hedges++
 		}
@@ -431,7 +431,7 @@
 	}
 	if result == load.Refused {
 		refusal := &model.Failure{Verdict: model.NotRun, Reason: model.QueueFull}
-		spend := func() bool { return w.budgets.Withdraw(w.time(), budget.Key{Customer: "a"}) }
+		spend := func() bool { return w.budgets.Withdraw(w.time(), budget.Key{Customer: "a"}, 0) }
 		if retry.Next(w.time(), c.state, refusal, spend).Action == retry.Again {
 			w.result.retries++
 			w.sendAttempt(a.daemon, c)
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -50,6 +50,9 @@
 	StopMs float64 `json:"stop_ms,omitempty"`
 	// Limits has what the operating system lets this process use.
 	Limits Limits `json:"limits,omitzero"`
+	// RetryShare is the largest share of a service's calls that all daemons together may send once more, from 0 to 1; zero
+	// means as the customers' contracts say.
+	RetryShare float64 `json:"retry_share,omitzero"`
 	// Log configures the log output.
 	Log Log `json:"log,omitempty"`
 }
@@ -90,7 +93,7 @@
 	settings.Limits.MemoryMB = cmp.Or(settings.Limits.MemoryMB, defaultMemoryMB)
 	settings.Limits.Descriptors = cmp.Or(settings.Limits.Descriptors, defaultDescriptors)
 	for _, check := range []func(Settings) (field, found, allowed string){
-		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLimits, checkLog,
+		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLimits, checkRetries, checkLog,
 	} {
 		if field, found, allowed := check(settings); field != "" {
 			return Settings{}, strict.FaultAt(file, data, field, found, allowed)
@@ -191,6 +194,13 @@
 	return "", "", ""
 }
 
+func checkRetries(s Settings) (field, found, allowed string) {
+	if s.RetryShare < 0 || s.RetryShare > 1 {
+		return "retry_share", strconv.FormatFloat(s.RetryShare, 'g', -1, 64), "0 to 1"
+	}
+	return "", "", ""
+}
+
 func checkLog(s Settings) (field, found, allowed string) {
 	switch s.Log.Format {
 	case "", "text", "json":
--- a/core/traffic/flight/flight.go
+++ b/core/traffic/flight/flight.go
@@ -40,8 +40,8 @@
 
 	mu      sync.Mutex
 	running map[*Run]struct{}
-	// ids counts the running requests by ID.
-	ids    map[string]int
+	// ids has the running requests by ID.
+	ids    map[string]sends
 	broken []brokenRun
 	// incarnation is the incarnation that the last crash was attributed to; it increases with each crash.
 	incarnation model.Incarnation
@@ -53,10 +53,19 @@
 	aloneEnded chan struct{}
 }
 
+// sends are the running sends of one request.
+type sends struct {
+	// count is at least 1.
+	count int
+	// rank is the request's rank.
+	rank int
+}
+
 // Run is one admitted request.
 type Run struct {
 	tracker     *Tracker
 	id          string
+	rank        int
 	fingerprint model.Fingerprint
 	alone       bool
 	// startedAt is when the request went to the upstream; zero while it waits.
@@ -74,7 +83,7 @@
 	return &Tracker{
 		settings:    settings,
 		running:     map[*Run]struct{}{},
-		ids:         map[string]int{},
+		ids:         map[string]sends{},
 		incarnation: settings.Self.Incarnation,
 		aloneEnded:  make(chan struct{}),
 	}
@@ -89,9 +98,9 @@
 		case poison.Barred:
 			return nil, &model.Failure{Verdict: model.NotRun, Reason: model.Quarantined}
 		case poison.Free:
-			return &Run{tracker: t, id: call.ID, fingerprint: call.Fingerprint}, nil
+			return &Run{tracker: t, id: call.ID, rank: call.Rank, fingerprint: call.Fingerprint}, nil
 		case poison.Alone:
-			return &Run{tracker: t, id: call.ID, fingerprint: call.Fingerprint, alone: true}, nil
+			return &Run{tracker: t, id: call.ID, rank: call.Rank, fingerprint: call.Fingerprint, alone: true}, nil
 		case poison.Busy:
 		}
 		select {
@@ -109,14 +118,15 @@
 	defer t.mu.Unlock()
 	r.startedAt = t.settings.Now()
 	t.running[r] = struct{}{}
-	t.ids[r.id]++
+	t.ids[r.id] = sends{count: t.ids[r.id].count + 1, rank: r.rank}
 }
 
-// IsRunning reports whether the upstream is working on the request with the given ID.
-func (t *Tracker) IsRunning(id string) bool {
+// Running reports whether the upstream is working on the request with the given ID, and that request's rank.
+func (t *Tracker) Running(id string) (rank int, running bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.ids[id] > 0
+	found, running := t.ids[id]
+	return found.rank, running
 }
 
 // End records how the request ended: with a complete answer if failure is nil.
@@ -151,10 +161,12 @@
 		return
 	}
 	delete(t.running, r)
-	t.ids[r.id]--
-	if t.ids[r.id] == 0 {
+	left := sends{count: t.ids[r.id].count - 1, rank: r.rank}
+	if left.count == 0 {
 		delete(t.ids, r.id)
+		return
 	}
+	t.ids[r.id] = left
 }
 
 // confirmCrash records a crash if the upstream is down after a connection broke.
--- a/core/traffic/flight/flight_test.go
+++ b/core/traffic/flight/flight_test.go
@@ -31,8 +31,11 @@
 	downAt atomic.Pointer[time.Time]
 }
 
+// rankOfRuns is the rank of all requests.
+const rankOfRuns = 2
+
 func (h *harness) begin(fingerprint model.Fingerprint) *flight.Run {
-	run, failure := h.flight.Begin(context.Background(), model.Call{ID: fmt.Sprintf("req-%d", fingerprint), Fingerprint: fingerprint})
+	run, failure := h.flight.Begin(context.Background(), model.Call{ID: fmt.Sprintf("req-%d", fingerprint), Fingerprint: fingerprint, Rank: rankOfRuns})
 	qt.Assert(h, failure == nil, qt.IsTrue)
 	return run
 }
@@ -162,7 +165,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				h := newHarness(t)
 				test.act(h)
-				qt.Assert(t, h.flight.IsRunning("req-1"), qt.Equals, test.want)
+				rank, running := h.flight.Running("req-1")
+				qt.Assert(t, running, qt.Equals, test.want)
+				if test.want {
+					qt.Assert(t, rank, qt.Equals, rankOfRuns)
+				}
 			})
 		})
 	}
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -38,6 +38,8 @@
 	ProbeBudget *probe.Budget
 	// Retries limits the retries of each customer.
 	Retries *budget.Buckets
+	// RetryPercent is the percentage of a retry that each call earns; zero means that of its customer.
+	RetryPercent int
 }
 
 // Sender picks upstreams and counts the calls in flight to each.
@@ -61,7 +63,7 @@
 func Send[P route.Policy, A any](ctx context.Context, s *Sender[P], call model.Call, attempter Attempter[A]) (A, *model.Failure) {
 	var zero A
 	state := retry.State{Deadline: call.Deadline, Idempotent: call.Idempotent, MaxReached: call.Attempts}
-	s.settings.Retries.Deposit(s.settings.Now(), budgetKey(call), s.settings.Snapshot().Limits[call.Customer].RetryPercent)
+	s.settings.Retries.Deposit(s.settings.Now(), budgetKey(call), s.retryPercent(call))
 	progress := progress{tried: make([]model.UpstreamName, 0, retry.MaxAttempts)}
 	last := &model.Failure{Verdict: model.NotRun, Reason: model.NoUpstream, NoRetry: true}
 	for {
@@ -152,7 +154,10 @@
 // afterFailure returns the state after a failed attempt.
 func afterFailure(state retry.State, failure *model.Failure, untried int) retry.State {
 	state.Attempts++
-	if retry.Reached(failure.Reason) {
+	switch {
+	case failure.Reason == model.UpstreamShed:
+		state.Shed++
+	case retry.Reached(failure.Reason):
 		state.Reached++
 	}
 	if retry.MayHaveCrashed(failure.Reason) {
@@ -177,10 +182,18 @@
 	return budget.Key{Customer: call.Customer, Service: call.Service}
 }
 
+// retryPercent returns the percentage of a retry that a call earns.
+func (s *Sender[P]) retryPercent(call model.Call) int {
+	if s.settings.RetryPercent > 0 {
+		return s.settings.RetryPercent
+	}
+	return s.settings.Snapshot().Limits[call.Customer].RetryPercent
+}
+
 func (s *Sender[P]) decideRetry(state retry.State, call model.Call, failure *model.Failure) retry.Decision {
 	now := s.settings.Now()
 	return retry.Next(now, state, failure, func() bool {
-		return s.settings.Retries.Withdraw(now, budgetKey(call))
+		return s.settings.Retries.Withdraw(now, budgetKey(call), call.Rank)
 	})
 }
 
--- a/core/traffic/send/send_test.go
+++ b/core/traffic/send/send_test.go
@@ -63,6 +63,34 @@
 	return least
 }
 
+// fullRetry makes each call earn a whole retry.
+const fullRetry = 100
+
+// TestShedCallsAreNotRuns checks that upstreams that refuse a call before any work do not use up the number of upstreams
+// that its route lets it reach.
+func TestShedCallsAreNotRuns(t *testing.T) {
+	idle := model.GateReport{Slots: 9}
+	tests := []struct {
+		name     string
+		attempts int
+		tried    []model.UpstreamName
+	}{
+		{name: "no bound", tried: []model.UpstreamName{"a", "b", "c"}},
+		{name: "one upstream", attempts: 1, tried: []model.UpstreamName{"a", "b", "c"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			fake := &gates{reply: map[model.UpstreamName]reply{
+				"a": {reason: model.UpstreamShed, report: idle}, "b": {reason: model.UpstreamShed, report: idle}, "c": {report: idle},
+			}}
+			call := model.Call{Service: "beds", Attempts: test.attempts, Deadline: time.Now().Add(time.Second)}
+			_, failure := send.Send(context.Background(), newSender(fake.reply), call, fake)
+			qt.Assert(t, failure == nil, qt.IsTrue)
+			qt.Assert(t, fake.tried, qt.DeepEquals, test.tried)
+		})
+	}
+}
+
 // TestTries checks which upstreams a call is sent to when gates refuse it because they are overloaded.
 func TestTries(t *testing.T) {
 	full := model.GateReport{InFlight: 9, Slots: 9, Queued: 1}
@@ -134,5 +162,7 @@
 		Tracker:     load.New(model.Upstream{Name: "self"}, load.DefaultSettings()),
 		ProbeBudget: probe.New(time.Now(), probe.DefaultSettings()),
 		Retries:     budget.New(budget.DefaultSettings()),
+
+		RetryPercent: fullRetry,
 	}, route.New(byName{}))
 }
