Take the slot for nested calls out again: it costs another deployment more than it earns

Ruled out: paced links. Servers of that deployment get slower when nearly full, so one more call at once slows all of them.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -80,8 +80,7 @@
 	// Push adds a ticket.
 	Push(ticket Ticket, limits model.Limits)
 	// Pop removes and returns the next ticket for which eligible returns true. The result of eligible
-	// depends only on the tier and the class of a ticket, and on whether it is nested if Gate.NestedSlots is above
-	// Gate.Slots.
+	// depends only on the tier and the class of a ticket.
 	Pop(eligible func(Ticket) bool) (Ticket, bool)
 	// PopOverdue removes and returns a waiting ticket that should be refused now rather than kept, or
 	// returns false.
--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -14,9 +14,6 @@
 type Gate[D Discipline] struct {
 	// Slots is how many tickets may hold a slot at once; at least 1. SetLimits and Resize change it.
 	Slots int
-	// NestedSlots is how many tickets may hold a slot at once if the last of them are nested; at least Slots. SetNested
-	// changes it.
-	NestedSlots int
 
 	discipline D
 	limits     map[model.Customer]model.Limits
@@ -59,7 +56,6 @@
 func New[D Discipline](slots int, discipline D) *Gate[D] {
 	return &Gate[D]{
 		Slots:        slots,
-		NestedSlots:  slots,
 		nominalSlots: slots,
 		discipline:   discipline,
 		running:      map[uint64]*runningTicket{},
@@ -81,14 +77,6 @@
 // tickets keep their slots: after a reduction none starts until enough have finished.
 func (g *Gate[D]) Resize(now time.Time, slots int) []Decision {
 	g.Slots = max(1, slots)
-	g.NestedSlots = max(g.NestedSlots, g.Slots)
-	return g.dispatch(now)
-}
-
-// SetNested sets how many tickets may hold a slot at once if the last of them are nested, and returns the decisions that
-// follow for waiting tickets. It is for disciplines that order tickets one by one, such as Ranked.
-func (g *Gate[D]) SetNested(now time.Time, slots int) []Decision {
-	g.NestedSlots = max(g.Slots, slots)
 	return g.dispatch(now)
 }
 
@@ -216,7 +204,7 @@
 // startWaiting starts waiting tickets while slots are free, and refuses those that would miss their deadline.
 func (g *Gate[D]) startWaiting(now time.Time) []Decision {
 	var decisions []Decision
-	for len(g.running) < g.NestedSlots {
+	for len(g.running) < g.Slots {
 		ticket, found := g.discipline.Pop(g.canStart)
 		if !found {
 			return decisions
@@ -233,11 +221,7 @@
 
 // canStart reports whether a slot is free that the ticket may use.
 func (g *Gate[D]) canStart(ticket Ticket) bool {
-	slots := g.Slots
-	if ticket.Nested {
-		slots = g.NestedSlots
-	}
-	if len(g.running) >= slots {
+	if len(g.running) >= g.Slots {
 		return false
 	}
 	if ticket.Class == model.Short {
