Let an odd entry of the store say nothing about the entries that follow it

One wrong high number made every daemon ignore that server until its key was deleted. The same happened after an entry of a service that nobody has named, and to a server that started again under its id with a lower born.

Ruled out: the store's revision order alone. An entry of an earlier incarnation that is written late would then replace the newer one (two rows of TestListedInstances guard against it).

Change: an entry without one of the fields that a server writes is odd, like one with a wrong type, and becomes a deletion, after which anything counts. An entry of a service that nobody has named is not compared with others. An entry that is older than the one in force is held back only while it comes alone: a second one of the same incarnation with a higher sequence number shows a publisher that is at work, and comes into force.

--- a/core/command/config/config.go
+++ b/core/command/config/config.go
@@ -60,6 +60,8 @@
 	// Instances has the upstreams that are published one by one, and Documents the document, if there is one.
 	Instances *Table[model.InstanceID, model.Upstream]
 	Documents *Table[string, model.Document]
+	// Late has the newest entry of an instance that is older than the one in force, and not in force for that reason.
+	Late map[model.InstanceID]Entry[model.Upstream]
 	// Refusals says by key why the newest value is not in force; at most maxRefusals.
 	Refusals map[string]model.Refusal
 	// Recent has the newest changes, including those of services that are not kept.
@@ -75,6 +77,7 @@
 		Marks:     NewTable[model.UpstreamName, model.Mark](),
 		Instances: NewTable[model.InstanceID, model.Upstream](),
 		Documents: NewTable[string, model.Document](),
+		Late:      map[model.InstanceID]Entry[model.Upstream]{},
 		Refusals:  map[string]model.Refusal{},
 		Recent:    Recent{MaxBytes: maxRecentBytes, MaxChanges: maxRecentChanges},
 	}
@@ -144,29 +147,6 @@
 	}
 }
 
-// setInstance sets the entry of one instance, unless the entry in force is newer: a delayed publisher may write an
-// entry after a later incarnation, or the same one with a higher sequence number, has published its own.
-func (s *Store) setInstance(change model.Change) {
-	id := model.InstanceID(strings.TrimPrefix(change.Key, check.InstancePrefix))
-	known, listed := s.Instances.Entries[id]
-	s.updateRefusal(change, setEntry(s.Instances, id, change, func(id model.InstanceID, raw []byte) (model.Upstream, *strict.Fault) {
-		upstream, fault := check.Instance(id, raw)
-		if fault == nil && listed && olderEntry(upstream, known.Value) {
-			fault = &strict.Fault{File: change.Key, Line: 1, Found: "an entry older than the one in force", Allowed: "a newer entry"}
-		}
-		return upstream, fault
-	}))
-}
-
-// olderEntry reports whether a is older than b: of an earlier incarnation, or of the same one with a lower sequence
-// number.
-func olderEntry(a, b model.Upstream) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation < b.Incarnation
-	}
-	return a.Sequence < b.Sequence
-}
-
 // setDocument sets the document, unless its version is below the one in force.
 func (s *Store) setDocument(change model.Change) {
 	inForce := s.Documents.Entries[change.Key].Value.Version
--- a/core/command/config/copy.go
+++ b/core/command/config/copy.go
@@ -53,6 +53,7 @@
 	s.setAll(source)
 	s.Complete = source.Revision
 	s.dropUnlistedMarks()
+	s.dropUnlistedLate()
 	return Applied
 }
 
--- a/core/command/daemon/listed_test.go
+++ b/core/command/daemon/listed_test.go
@@ -112,6 +112,12 @@
 		{name: "an older entry of the same incarnation arrives late", changes: []model.Change{instance("i-1", 1, 10, 7, model.Leaving), instance("i-1", 1, 10, 4, model.Live)}, want: []model.InstanceID{}},
 		{name: "an entry of another writer has a service that nobody named", changes: []model.Change{instance("i-1", 1, 10, 1, model.Live), ofService("colours", instance("i-9", 1, 99, 1, model.Live))}, want: []model.InstanceID{"i-1"}},
 		{name: "an entry of an earlier incarnation arrives late", changes: []model.Change{instance("i-1", 1, 20, 1, model.Live), instance("i-1", 1, 10, 9, model.Leaving)}, want: []model.InstanceID{"i-1"}},
+		{name: "another writer's entry lies between the entries of an instance", changes: []model.Change{instance("i-1", 1, 10, 1, model.Live), ofService("colours", instance("i-1", 1, 99, 99, model.Live)), instance("i-1", 1, 10, 2, model.Live)}, want: []model.InstanceID{"i-1"}},
+		{name: "an instance leaves after another writer's entry", changes: []model.Change{instance("i-1", 1, 10, 1, model.Live), ofService("colours", instance("i-1", 1, 99, 99, model.Live)), instance("i-1", 1, 10, 2, model.Leaving)}, want: []model.InstanceID{}},
+		{name: "an instance leaves after a high number at its key", changes: []model.Change{instance("i-1", 1, 10, 1, model.Live), instance("i-1", 1, 10, 99, model.Live), instance("i-1", 1, 10, 2, model.Live), instance("i-1", 1, 10, 3, model.Leaving)}, want: []model.InstanceID{}},
+		{name: "an instance whose clock was set back leaves", changes: []model.Change{instance("i-1", 1, 20, 7, model.Live), instance("i-1", 1, 10, 1, model.Live), instance("i-1", 1, 10, 2, model.Leaving)}, want: []model.InstanceID{}},
+		{name: "a restarted instance counts from one again", changes: []model.Change{instance("i-1", 1, 10, 7, model.Live), instance("i-1", 1, 20, 1, model.Leaving)}, want: []model.InstanceID{}},
+		{name: "two late entries, with one of the later incarnation between them", changes: []model.Change{instance("i-1", 1, 20, 1, model.Live), instance("i-1", 1, 10, 8, model.Leaving), instance("i-1", 1, 20, 2, model.Live), instance("i-1", 1, 10, 9, model.Leaving)}, want: []model.InstanceID{"i-1"}},
 		{name: "an older document", changes: []model.Change{instance("i-1", 1, 10, 1, model.Live), published("document", fmt.Sprintf(listedDocument, 3)), published("document", `{"version":2}`)}, want: []model.InstanceID{"i-1"}},
 	}
 	for _, test := range tests {
