Wait for a document in force before a daemon says that it is ready

Ruled out: being ready only with a document. A deployment may start before its first configuration, and daemons that are not ready are priced.

A daemon that has refused a document and has none in force is not ready, and asks each ready peer whose revision is not lower for a full copy.

--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -153,7 +153,7 @@
 // stopping learn at once that its upstream takes work again. One that the platform alone has made ready asks for the
 // notices and the evidence that its predecessor knew.
 func (s *State) updateReady(now time.Time) []Effect {
-	if !s.Start.updateReady(now, s.Config.Complete) {
+	if s.awaitsDocument() || !s.Start.updateReady(now, s.Config.Complete) {
 		return nil
 	}
 	s.Gossip.QueueAnnouncement(gossip.UrgentFanOut)
--- a/core/command/daemon/start.go
+++ b/core/command/daemon/start.go
@@ -12,6 +12,7 @@
 	"comfreytack/core/command/gossip"
 	"comfreytack/core/command/reader"
 	"comfreytack/core/model"
+	"comfreytack/core/query/check"
 )
 
 const (
@@ -36,6 +37,9 @@
 //
 // If reads of the platform always show its newest state, a read replaces the first two conditions.
 //
+// A daemon that has been sent a document which it refuses, and has none in force, is not ready in any case: it could serve
+// nothing. It asks ready peers for the document that they have in force (awaitsDocument).
+//
 // So a platform that is behind the fleet, or a peer that is behind the others, cannot bring an old
 // configuration back through a restarted daemon, as long as a daemon with a newer one answers.
 type Start struct {
@@ -101,6 +105,13 @@
 	return s.Ready
 }
 
+// awaitsDocument reports whether a document is published that cannot come into force while no other is.
+func (s *State) awaitsDocument() bool {
+	_, refused := s.Config.Refusals[check.DocumentKey]
+	_, inForce := s.Config.Documents.Entries[check.DocumentKey]
+	return refused && !inForce
+}
+
 // firstReadDelay returns how long after its start a daemon first reads the platform. The delay rises with the rank
 // of the daemon's address among the seeds, so that only a few daemons read before the others hear of it.
 func firstReadDelay(self model.Address, seeds []model.Address, random *rand.Rand) time.Duration {
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -84,7 +84,9 @@
 	from := message.From.Address
 	s.recordReported(now, message.Digest.Revision)
 	ask := message.Digest.Revision > own.Revision && !s.expectsOwnRead(now)
-	heal := s.Gossip.HealDue(now, own, message.Digest)
+	// A ready peer at the same revision has a document in force if there has been one.
+	heal := s.Gossip.HealDue(now, own, message.Digest) ||
+		s.awaitsDocument() && message.Digest.Ready && message.Digest.Revision >= own.Revision
 	if (ask || heal) && s.Gossip.TryAsk(now, from) {
 		request := s.message(now, from)
 		request.Want = s.newWant()
