Let all daemons read a large configuration at the same time

The others learned of a large change only when the reader had all of it, so that behind a reader on a link of 10 Mbit/s the largest configuration (1.4 MB in base64, 1.1 s) was in force after two transfers, or after a takeover at 0.9 s and one. And a daemon answered every peer that asked for the change at once, each answer about three copies of it in memory: 60 peers at once took more than a machine of 184 MB has.

Ruled out: passing large changes on in reports; 20 copies over a link of 10 Mbit/s take 18 s.

Answers above 256 KiB to peers take a token of those for full copies, at most 8 at once. Nothing changes for smaller configurations.

--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -130,6 +130,8 @@
 	switch e := event.(type) {
 	case ChangesRead:
 		effects = append(effects, s.changesRead(now, e)...)
+	case LargeChange:
+		effects = append(effects, s.reportLargeChange(now, e.After)...)
 	case MessageReceived:
 		effects = append(effects, s.messageReceived(now, e.Message)...)
 	case PeerLost:
--- a/core/command/daemon/document_test.go
+++ b/core/command/daemon/document_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,3 +94,60 @@
 	change.Revision = revision
 	l.state.Apply(l.now, daemon.ChangesRead{Whole: true, Delta: model.Delta{Revision: revision, Changes: []model.Change{change}}})
 }
+
+// TestLargeChange checks that others read at once when the reader has begun to read a large change.
+func TestLargeChange(t *testing.T) {
+	reader, other := newLeasedDaemon(t), newLeasedDaemon(t)
+	for _, l := range []*leasedDaemon{reader, other} {
+		l.read(instance("i-1", 1, 10, 1, model.Live), instance("i-3", 3, 10, 1, model.Live))
+		l.passStart()
+	}
+	reader.awaitRead()
+	var reports []gossip.Message
+	for _, effect := range reader.state.Apply(reader.now, daemon.LargeChange{After: reader.revision - 1}) {
+		if send, ok := effect.(daemon.SendPeer); ok && send.Message.Report != nil {
+			reports = append(reports, send.Message)
+		}
+	}
+	qt.Assert(t, reports, qt.HasLen, 1)
+	qt.Assert(t, reports[0].Delta, qt.IsNil)
+	reports[0].From.Name, reports[0].From.Address = "10.1.0.3", "10.1.0.3:7635"
+	freshAt := other.state.Lease.FreshAt
+	other.state.Apply(other.now, daemon.MessageReceived{Message: reports[0]})
+	qt.Assert(t, other.state.Lease.FreshAt, qt.Equals, freshAt)
+	_, reads := requested(other.state.Tick(other.now.Add(100*time.Millisecond), 0))
+	qt.Assert(t, reads, qt.IsTrue)
+	qt.Assert(t, reader.state.Apply(reader.now, daemon.LargeChange{After: reader.revision - 2}), qt.HasLen, 0)
+}
+
+// TestLargeAnswersToPeers checks that a daemon sends a large change to few of the peers that ask for it at once, so that
+// the copies fit into its memory; a small one goes to all.
+func TestLargeAnswersToPeers(t *testing.T) {
+	tests := []struct {
+		name     string
+		document string
+		want     int
+	}{
+		{name: "small", document: fmt.Sprintf(listedDocument, 2), want: 60},
+		{name: "large", document: fmt.Sprintf(listedDocument, 2) + strings.Repeat(" ", 900_000), want: 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := newLeasedDaemon(t)
+			l.read(published("document", test.document))
+			answers := 0
+			for peer := range 60 {
+				message := gossip.Message{
+					From: model.Peer{Name: model.UpstreamName(fmt.Sprint("p-", peer)), Incarnation: 1, Address: model.Address(fmt.Sprintf("10.2.0.%d:1", peer))},
+					Want: &gossip.Want{After: 1, Nonce: 1},
+				}
+				for _, effect := range l.state.Apply(l.now, daemon.MessageReceived{Message: message}) {
+					if send, ok := effect.(daemon.SendPeer); ok && send.Message.Delta != nil {
+						answers++
+					}
+				}
+			}
+			qt.Assert(t, answers, qt.Equals, test.want)
+		})
+	}
+}
--- a/core/command/daemon/event.go
+++ b/core/command/daemon/event.go
@@ -20,6 +20,11 @@
 	Failed bool
 }
 
+// LargeChange says that the read in flight has found changes after a revision, which take long to arrive.
+type LargeChange struct {
+	After model.Revision
+}
+
 // MessageReceived is a message from another daemon.
 type MessageReceived struct {
 	Message gossip.Message
@@ -43,6 +48,7 @@
 type StopRequested struct{}
 
 func (ChangesRead) event()     {}
+func (LargeChange) event()     {}
 func (MessageReceived) event() {}
 func (PeerLost) event()        {}
 func (UpstreamProbed) event()  {}
--- a/core/command/daemon/report.go
+++ b/core/command/daemon/report.go
@@ -20,6 +20,16 @@
 	return s.sendReport(now, report, tree.Everyone(), s.smallDeltaSince(since))
 }
 
+// reportLargeChange reports to all others, before a read by this daemon ends, that there are changes after a revision, so
+// that they start their own reads at the same time. Over a slow link the transfer takes a second.
+func (s *State) reportLargeChange(now time.Time, after model.Revision) []Effect {
+	fresh := s.Lease.Report(now, "")
+	if !s.Settings.Leased || !s.Lease.Renewing || s.Lease.Alone || after != s.Config.Complete || fresh == nil {
+		return nil
+	}
+	return s.sendReport(now, gossip.Report{Fresh: *fresh, Revision: after + 1}, tree.Everyone(), nil)
+}
+
 // passOn passes a received report on to the rest of its range. A daemon that has just woken from a pause does not,
 // because the report may have waited for it and be older than it says.
 func (s *State) passOn(now time.Time, message gossip.Message) []Effect {
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -9,6 +9,9 @@
 	"comfreytack/core/model"
 )
 
+// maxFreeDeltaBytes is the size up to which deltas are sent to any number of peers at once.
+const maxFreeDeltaBytes = 256 << 10
+
 // messageReceived handles a message from another daemon and returns the messages that it calls for.
 func (s *State) messageReceived(now time.Time, message gossip.Message) []Effect {
 	if !s.Members.Hear(now, message.From) {
@@ -51,8 +54,8 @@
 	}
 }
 
-// answerWant answers the request in a message, if it has one. A full copy may be refused; the peer then asks another
-// daemon.
+// answerWant answers the request in a message, if it has one. A full copy, or a delta as large, may be refused, since each
+// takes memory while it is sent; the peer then asks another daemon.
 func (s *State) answerWant(now time.Time, message gossip.Message) []Effect {
 	if message.Want == nil {
 		return nil
@@ -66,6 +69,9 @@
 		return []Effect{SendPeer{To: to, Message: answer}}
 	}
 	if delta, known := s.Config.Since(message.Want.After, gossip.MaxDeltaBytes); known && !message.Want.Whole {
+		if delta.Bytes() > maxFreeDeltaBytes && !s.Gossip.AllowCopy(now) {
+			return nil
+		}
 		answer.Delta = &delta
 		return []Effect{SendPeer{To: to, Message: answer}}
 	}
