Know long uploads that crash upstreams by their beginning and their whole

Change: the entry reads the first 64 KiB of a long body before it sends (as it did for bodies in chunks) and hashes them with customer, method and path: the prefix (Call.Prefix, on the wire "b"). The gate hashes the rest while it streams (relay.Tail). A crash is evidence against the prefix and, once the end has been read, against the whole. An entry that gets a body with a suspected prefix reads it to its end first (relay.Spool, 8 MiB for the daemon), so that gates judge it by its whole fingerprint; what does not fit is judged by its prefix. A success clears the whole, never the prefix, which other bodies share. Evidence and gossip keep their form.

Ruled out: quarantine by the prefix alone (refuses files that grow and common heads); holding back the last part of a streamed body until its hash is known (the upstream may crash before the end); a sieve by path without reading ahead (would spool every upload of the path).

A body whose sender breaks off in the first 64 KiB now reaches no upstream.

--- a/cftd/entry/attempt.go
+++ b/cftd/entry/attempt.go
@@ -100,7 +100,7 @@
 // sendToGate sends the request to another daemon's gate. The report is nil when the reply carried none.
 func (a *attempter[D]) sendToGate(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.GateReport, *model.Failure) {
 	wire.SetCall(request.Header, call, a.entry.settings.Now())
-	request.ExpectContinue = a.body.Rest != nil
+	request.ExpectContinue = a.body.Large()
 	answer, failure := relay.RoundTrip(ctx, a.entry.settings.Transport, request, model.GateLost)
 	if failure != nil {
 		return nil, nil, failure
--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -46,6 +46,11 @@
 	Meter *meter.Meter
 	// Log receives one line for each call.
 	Log *slog.Logger
+	// Suspected reports whether requests with a prefix were in flight at a crash, so that their bodies are read to the end
+	// before they are sent.
+	Suspected func(prefix model.Fingerprint) bool
+	// Spool holds such bodies.
+	Spool *relay.Spool
 	// IssuesKeys enables the path on the callers' port that issues idempotency keys.
 	IssuesKeys bool
 	// UsedTime estimates how much of its waiting time a caller has used before this request.
@@ -133,7 +138,9 @@
 	if err != nil {
 		return nil, coverAllSends(*call, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err})
 	}
-	call.Fingerprint = body.Fingerprint(call.Customer, call.Method, call.Path+"?"+r.URL.RawQuery)
+	if err := e.identify(ctx, r, call, body); err != nil {
+		return nil, coverAllSends(*call, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err})
+	}
 	a := e.attempter(r, *call, body)
 	defer func() { end.tries = a.tries }()
 	if call.Key.IsPresent() {
@@ -148,6 +155,22 @@
 	return answer, failure
 }
 
+// identify sets the fingerprints of a call. When a long body begins like one that was in flight at a crash, it is read
+// to its end first, or as far as there is room.
+func (e *Entry[D]) identify(ctx context.Context, r *http.Request, call *model.Call, body *relay.Body) error {
+	path := call.Path + "?" + r.URL.RawQuery
+	call.Prefix = body.Prefix(call.Customer, call.Method, path)
+	if call.Prefix != 0 && e.settings.Suspected(call.Prefix) {
+		taken, err := e.settings.Spool.Read(body)
+		context.AfterFunc(ctx, func() { e.settings.Spool.Release(taken) })
+		if err != nil {
+			return err
+		}
+	}
+	call.Fingerprint = body.Fingerprint(call.Customer, call.Method, path)
+	return nil
+}
+
 // attempts tries the call on upstreams. The verdict covers all attempts, not only the last one.
 func (e *Entry[D]) attempts(ctx context.Context, call model.Call, a *attempter[D]) (*http.Response, model.Verdict, *model.Failure) {
 	answer, failure := e.settings.Send(ctx, call, a)
--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -75,6 +75,10 @@
 		g.settings.Work.Leave()
 		return nil, failure
 	}
+	if call.Fingerprint == 0 && call.Prefix != 0 {
+		request.Tail = relay.NewTail(call.Prefix, request.Body.Length)
+		run.Watch(request.Tail.Fingerprint)
+	}
 	run.Start()
 	g.settings.Meter.Wait(call, slot.Waited)
 	answer, failure := g.roundTrip(ctx, call, request)
--- a/cftd/relay/body.go
+++ b/cftd/relay/body.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"comfreytack/core/model"
@@ -15,9 +14,10 @@
 // BufferBytes bounds the bodies that are buffered. A buffered request body can be sent again to another upstream.
 const BufferBytes = 64 << 10
 
-// Body is a request body. A small one is buffered whole; a larger one is streamed and can be sent only once.
+// Body is a request body. A small one is buffered whole; what follows the beginning of a larger one is streamed and can
+// be sent only once.
 type Body struct {
-	// Small is the whole body, unless Rest is set.
+	// Small is the whole body, or its beginning if Rest is set.
 	Small []byte
 	// Rest streams what follows Small; nil when Small is the whole body.
 	Rest io.Reader
@@ -28,23 +28,20 @@
 	restClaimed atomic.Bool
 }
 
-// ReadBody buffers a request's body of at most BufferBytes; it leaves the rest of a larger one to be streamed.
+// ReadBody buffers a request's body of at most BufferBytes, or one byte more of a larger one; it leaves the rest to be
+// streamed.
 func ReadBody(r *http.Request) (*Body, error) {
 	body := &Body{Length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody {
 		body.Length = 0
 		return body, nil
 	}
-	if r.ContentLength > BufferBytes {
-		body.Rest = r.Body
-		return body, nil
-	}
 	small, err := io.ReadAll(io.LimitReader(r.Body, BufferBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read request body")
 	}
 	body.Small = small
-	if len(small) > BufferBytes {
+	if len(small) > BufferBytes && body.Length != int64(len(small)) {
 		body.Rest = r.Body
 		return body, nil
 	}
@@ -66,6 +63,9 @@
 	return b.Rest == nil || !b.restClaimed.Load()
 }
 
+// Large reports whether the body is too large to be sent before its receiver asks for it.
+func (b *Body) Large() bool { return b.Rest != nil || len(b.Small) > BufferBytes }
+
 // Open returns the body for one attempt. The reader is never http.NoBody and the request has no GetBody, so that
 // http.Transport cannot retry the request by itself.
 func (b *Body) Open() io.ReadCloser {
@@ -90,21 +90,6 @@
 	return r.body.Rest.Read(data)
 }
 
-// Fingerprint hashes the customer, method, path and body of a request. It is zero when the body is too large to hash,
-// and never zero otherwise.
-func (b *Body) Fingerprint(customer model.Customer, method, path string) model.Fingerprint {
-	if b.Rest != nil {
-		return 0
-	}
-	hash := xxhash.New()
-	for _, part := range []string{string(customer), method, path} {
-		_, _ = hash.WriteString(part)
-		_, _ = hash.Write([]byte{0})
-	}
-	_, _ = hash.Write(b.Small)
-	return model.Fingerprint(max(1, hash.Sum64()))
-}
-
 // BufferAnswer reads the whole body of an answer that declares at most BufferBytes, so that the request can be retried
 // when the answer breaks off. It leaves other answers to be streamed.
 func BufferAnswer(answer *http.Response) *model.Failure {
--- a/cftd/relay/roundtrip.go
+++ b/cftd/relay/roundtrip.go
@@ -81,6 +81,8 @@
 	Header http.Header
 	// Body is the caller's body.
 	Body *Body
+	// Tail hashes the body of this attempt while it is sent; nil when its fingerprint is known or not needed.
+	Tail *Tail
 	// ExpectContinue sends "Expect: 100-continue", so that a body that can be sent only once is held back until the
 	// receiver asks for it.
 	ExpectContinue bool
@@ -167,6 +169,10 @@
 		// Without an entry the transport would add its own User-Agent.
 		request.Header["User-Agent"] = []string{""}
 	}
+	body := request.Body.Open()
+	if request.Tail != nil {
+		body = &tailReader{ReadCloser: body, tail: request.Tail}
+	}
 	return &http.Request{
 		Method: request.Method,
 		URL: &url.URL{
@@ -178,7 +184,7 @@
 		},
 		Host:          request.Host,
 		Header:        request.Header,
-		Body:          request.Body.Open(),
+		Body:          body,
 		ContentLength: request.Body.Length,
 	}
 }
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -58,6 +58,8 @@
 	keysPerCustomer        = 1024
 	answerBytesPerCustomer = 128 << 10
 	answerLifetime         = 10 * time.Minute
+	// spoolBytes bounds the memory for bodies that are read before they are sent, because they may crash upstreams.
+	spoolBytes = 8 << 20
 )
 
 // parts has what Serve starts and stops: the handlers of the HTTP ports and the functions of the other components.
@@ -207,6 +209,8 @@
 		UsedTime:   prior.New(),
 		Log:        deps.log,
 		IssuesKeys: deps.front.IssuesKeys,
+		Suspected:  func(prefix model.Fingerprint) bool { return deps.detector.Suspected(time.Now(), prefix) },
+		Spool:      relay.NewSpool(spoolBytes),
 		Meter:      deps.meter,
 	})
 	return &parts{
--- a/core/command/poison/poison.go
+++ b/core/command/poison/poison.go
@@ -152,6 +152,13 @@
 	return Alone
 }
 
+// Suspected reports whether the fingerprint was in flight at a crash that still counts.
+func (d *Detector) Suspected(now time.Time, fingerprint model.Fingerprint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return countActive(now, d.suspects[fingerprint]) > 0
+}
+
 // EndAlone records that the suspect admitted as Alone has ended.
 func (d *Detector) EndAlone() {
 	d.mu.Lock()
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -55,8 +55,11 @@
 	RunUntil time.Time
 	// Suspect marks an attempt made after an upstream died while it ran this call.
 	Suspect bool
-	// Fingerprint is zero when the body was too large to hash.
+	// Fingerprint identifies requests that are the same in customer, method, path and body; zero while the body is not
+	// known to its end.
 	Fingerprint Fingerprint
+	// Prefix identifies requests whose long bodies begin alike; zero for a short body.
+	Prefix Fingerprint
 }
 
 // RunDeadline returns when a started run is aborted.
--- a/core/traffic/flight/flight.go
+++ b/core/traffic/flight/flight.go
@@ -3,6 +3,7 @@
 package flight
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -58,7 +59,11 @@
 	tracker     *Tracker
 	id          string
 	fingerprint model.Fingerprint
-	alone       bool
+	prefix      model.Fingerprint
+	// streamed returns the fingerprint of a body that is hashed while it is sent, or zero before its end; nil for other
+	// bodies.
+	streamed func() model.Fingerprint
+	alone    bool
 	// startedAt is when the request went to the upstream; zero while it waits.
 	startedAt time.Time
 }
@@ -81,17 +86,19 @@
 }
 
 // Begin admits a request, or refuses it with verdict NotRun. A suspect waits until no other suspect runs on
-// this upstream. End must be called once on the returned run.
+// this upstream. A request whose body is not known to its end is judged by its prefix. End must be called once on the
+// returned run.
 func (t *Tracker) Begin(ctx context.Context, call model.Call) (*Run, *model.Failure) {
 	for {
 		aloneEnded := t.aloneEndedChan()
-		switch t.settings.Detector.Begin(t.settings.Now(), call.Fingerprint, call.Suspect && call.Fingerprint != 0) {
+		judged := cmp.Or(call.Fingerprint, call.Prefix)
+		switch t.settings.Detector.Begin(t.settings.Now(), judged, call.Suspect && judged != 0) {
 		case poison.Barred:
 			return nil, &model.Failure{Verdict: model.NotRun, Reason: model.Quarantined}
 		case poison.Free:
-			return &Run{tracker: t, id: call.ID, fingerprint: call.Fingerprint}, nil
+			return &Run{tracker: t, id: call.ID, fingerprint: call.Fingerprint, prefix: call.Prefix}, nil
 		case poison.Alone:
-			return &Run{tracker: t, id: call.ID, fingerprint: call.Fingerprint, alone: true}, nil
+			return &Run{tracker: t, id: call.ID, fingerprint: call.Fingerprint, prefix: call.Prefix, alone: true}, nil
 		case poison.Busy:
 		}
 		select {
@@ -102,6 +109,18 @@
 	}
 }
 
+// Watch sets the function that returns the fingerprint of a streamed body, or zero before its end has been read. It is
+// called before Start.
+func (r *Run) Watch(streamed func() model.Fingerprint) { r.streamed = streamed }
+
+// whole returns the fingerprint of the request, or zero when its body is not known to its end.
+func (r *Run) whole() model.Fingerprint {
+	if r.streamed == nil {
+		return r.fingerprint
+	}
+	return r.streamed()
+}
+
 // Start records that the request is being sent to the upstream now.
 func (r *Run) Start() {
 	t := r.tracker
@@ -119,12 +138,13 @@
 	return t.ids[id] > 0
 }
 
-// End records how the request ended: with a complete answer if failure is nil.
+// End records how the request ended: with a complete answer if failure is nil. That clears the request, but not its
+// prefix, which others share.
 func (r *Run) End(failure *model.Failure) {
 	t := r.tracker
 	t.finish(r, failure)
 	if failure == nil {
-		t.settings.Detector.Succeeded(r.fingerprint)
+		t.settings.Detector.Succeeded(r.whole())
 	}
 	if r.alone {
 		t.settings.Detector.EndAlone()
@@ -196,11 +216,11 @@
 func (t *Tracker) suspects() []model.Fingerprint {
 	suspects := mapset.NewThreadUnsafeSet[model.Fingerprint]()
 	for r := range t.running {
-		suspects.Add(r.fingerprint)
+		suspects.Append(r.whole(), r.prefix)
 	}
 	for _, b := range t.broken {
 		if b.run.startedAt.After(t.previousCrashAt) {
-			suspects.Add(b.run.fingerprint)
+			suspects.Append(b.run.whole(), b.run.prefix)
 		}
 	}
 	suspects.Remove(0)
--- a/core/traffic/flight/flight_test.go
+++ b/core/traffic/flight/flight_test.go
@@ -43,6 +43,15 @@
 	return run
 }
 
+// upload starts a request whose body is streamed: it has a prefix, and a fingerprint once it was read to its end.
+func (h *harness) upload(prefix, streamed model.Fingerprint) *flight.Run {
+	run, failure := h.flight.Begin(context.Background(), model.Call{ID: "upload", Prefix: prefix})
+	qt.Assert(h, failure == nil, qt.IsTrue)
+	run.Watch(func() model.Fingerprint { return streamed })
+	run.Start()
+	return run
+}
+
 func (h *harness) goDown(at time.Time) { h.downAt.Store(&at) }
 
 func (h *harness) down() bool {
@@ -130,6 +139,35 @@
 			wantSuspects:    []model.Fingerprint{1, 1},
 			wantQuarantined: 1,
 		},
+		{
+			name:         "a streamed body is suspected, and all that begin like it",
+			act:          func(h *harness) { h.crash(h.upload(1, 2)) },
+			wantSuspects: []model.Fingerprint{1, 2},
+		},
+		{
+			name:         "a streamed body whose end was not read is known by its prefix",
+			act:          func(h *harness) { h.crash(h.upload(1, 0)) },
+			wantSuspects: []model.Fingerprint{1},
+		},
+		{
+			name: "a success clears a streamed body, but not its prefix",
+			act: func(h *harness) {
+				h.crash(h.upload(1, 2))
+				h.upload(1, 2).End(nil)
+			},
+			wantSuspects: []model.Fingerprint{1},
+		},
+		{
+			name: "a body that is too long to be read first is judged by its prefix",
+			act: func(h *harness) {
+				h.crash(h.upload(1, 2))
+				h.crash(h.upload(1, 3))
+				_, failure := h.flight.Begin(context.Background(), model.Call{ID: "upload", Prefix: 1})
+				qt.Assert(h, failure.Reason, qt.Equals, model.Quarantined)
+			},
+			wantSuspects:    []model.Fingerprint{1, 1, 2, 3},
+			wantQuarantined: 1,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/wire/call.go
+++ b/core/wire/call.go
@@ -24,6 +24,7 @@
 	fieldIdempotent  = "a"
 	fieldSuspect     = "p"
 	fieldFingerprint = "f"
+	fieldPrefix      = "b"
 	fieldRoute       = "r"
 	fieldRank        = "k"
 	fieldTargetMs    = "t"
@@ -63,9 +64,8 @@
 	setFlag(fieldSuspect, call.Suspect)
 	setFlag(fieldForced, call.Forced)
 	setFlag(fieldNested, call.Nested)
-	if call.Fingerprint != 0 {
-		setText(fieldFingerprint, strconv.FormatUint(uint64(call.Fingerprint), fingerprintBase))
-	}
+	setText(fieldFingerprint, formatFingerprint(call.Fingerprint))
+	setText(fieldPrefix, formatFingerprint(call.Prefix))
 	if call.Route != "" {
 		setText(fieldRoute, call.Route)
 		setText(fieldRank, strconv.Itoa(call.Rank))
@@ -102,16 +102,31 @@
 	if err := readTimes(fields, &call, now); err != nil {
 		return call, err
 	}
-	if text := fields.Get(fieldFingerprint); text != "" {
-		value, err := strconv.ParseUint(text, fingerprintBase, 64)
-		if err != nil {
-			return call, badRequest(err)
-		}
-		call.Fingerprint = model.Fingerprint(value)
+	if call.Fingerprint, err = parseFingerprint(fields.Get(fieldFingerprint)); err != nil {
+		return call, badRequest(err)
+	}
+	if call.Prefix, err = parseFingerprint(fields.Get(fieldPrefix)); err != nil {
+		return call, badRequest(err)
 	}
 	return call, readRank(fields, &call)
 }
 
+// formatFingerprint returns the text of a fingerprint; that of zero is empty.
+func formatFingerprint(fingerprint model.Fingerprint) string {
+	if fingerprint == 0 {
+		return ""
+	}
+	return strconv.FormatUint(uint64(fingerprint), fingerprintBase)
+}
+
+func parseFingerprint(text string) (model.Fingerprint, error) {
+	if text == "" {
+		return 0, nil
+	}
+	value, err := strconv.ParseUint(text, fingerprintBase, 64)
+	return model.Fingerprint(value), err
+}
+
 // readTimes decodes the times of a call. Only the deadline is mandatory.
 func readTimes(fields url.Values, call *model.Call, now time.Time) error {
 	for _, field := range []struct {
