Count what an upstream refuses with 421 as an arrival, and remember it

Nothing remembered the answer, so each call asked the same servers again.

Change: instance_refused is the server's own word, an arrival that takes from the budget; instance_stale is its gate's refusal by what it remembers of that, which costs no server anything, counts as no attempt and teaches the entry. core/traffic/stale keeps it for 5 s or until the list names another instance, at the gate (also right before a send) and at the entry's choice of candidates. A refusal by a gate whose list lags (upstream_replaced) is not remembered: it ends in milliseconds, and a service of one server would be refused for seconds.

--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -17,6 +17,7 @@
 	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/traffic/idle"
+	"comfreytack/core/traffic/stale"
 	"comfreytack/core/wire"
 )
 
@@ -58,6 +59,8 @@
 type Gate[H Holder, D talk.Dialect] struct {
 	settings Settings[D]
 	hold     H
+	// stale remembers that the upstream is not the listed instance.
+	stale stale.Memory
 }
 
 // New returns a gate.
@@ -118,6 +121,9 @@
 func (g *Gate[H, D]) enter(ctx context.Context, call model.Call) (*flight.Run, hold.Slot, *model.Failure) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(-refusalLead))
 	defer cancel()
+	if g.stale.Refuses(g.settings.Now(), g.self(), call.Instance) {
+		return nil, hold.Slot{}, talk.Refuse(model.InstanceStale)
+	}
 	run, failure := g.settings.Flight.Begin(ctx, call)
 	if failure != nil {
 		return nil, hold.Slot{}, failure
@@ -172,7 +178,7 @@
 	request.AllowCloseDelimited = g.settings.Dialect.AllowCloseDelimited()
 	var refusal atomic.Pointer[model.Failure]
 	request.Confirm = func() *model.Failure {
-		failure := g.hold.Confirm(ctx, call)
+		failure := g.confirm(ctx, call)
 		refusal.Store(failure)
 		return failure
 	}
@@ -180,6 +186,9 @@
 		return g.settings.Dialect.CheckAnswer(call, g.settings.Snapshot().Services[call.Service], answer)
 	}
 	answer, failure := relay.RoundTrip(ctx, g.settings.Transport, request, model.UpstreamDied)
+	if failure != nil {
+		g.stale.Learn(g.settings.Now(), g.self(), call.Instance, failure.Reason)
+	}
 	if failure != nil && failure == refusal.Load() {
 		g.settings.Meter.Decision(call, failure.Reason)
 		g.logDecision(call, hold.Slot{}, failure)
@@ -194,6 +203,16 @@
 	return answer, nil
 }
 
+// confirm is the last decision before a send.
+func (g *Gate[H, D]) confirm(ctx context.Context, call model.Call) *model.Failure {
+	if g.stale.Refuses(g.settings.Now(), g.self(), call.Instance) {
+		return talk.Refuse(model.InstanceStale)
+	}
+	return g.hold.Confirm(ctx, call)
+}
+
+func (g *Gate[H, D]) self() model.UpstreamName { return g.settings.Snapshot().Self.Name }
+
 // truncationFailure returns a failure when the upstream broke off its answer, and nil when the answer was complete or
 // the caller gave up first.
 func truncationFailure(ctx context.Context, body *relay.TrackedBody) *model.Failure {
--- a/cftd/gate/gate_test.go
+++ b/cftd/gate/gate_test.go
@@ -45,20 +45,35 @@
 	slowPercent = 1_000_000
 )
 
+// dialect has upstreams that say by a status that they are another instance.
+type dialect struct{ talk.Native }
+
+// CheckAnswer implements talk.Dialect.
+func (dialect) CheckAnswer(_ model.Call, _ model.Service, answer *http.Response) *model.Failure {
+	if answer.StatusCode == http.StatusMisdirectedRequest {
+		return talk.Refuse(model.InstanceRefused)
+	}
+	return nil
+}
+
 // fixture is a gate of two slots beside an upstream that reports its pace.
 type fixture struct {
-	gate     *gate.Gate[*hold.Gate[*admit.Ranked, adapt.Fixed], talk.Native]
+	gate     *gate.Gate[*hold.Gate[*admit.Ranked, adapt.Fixed], dialect]
 	snapshot atomic.Pointer[model.Snapshot]
 	percent  atomic.Int64
+	// replaced is true while the upstream is another instance than the listed one.
+	replaced atomic.Bool
 	// polls counts the queries of the pace, and received the other requests that the upstream got.
 	polls, received atomic.Int64
+	// listed is the instance that calls are meant for.
+	listed model.InstanceID
 	// answer lets one request be answered that the upstream holds; requests for "/" are answered at once.
 	answer chan struct{}
 }
 
 func newFixture(t *testing.T, connections int) *fixture {
 	t.Helper()
-	f := &fixture{answer: make(chan struct{})}
+	f := &fixture{listed: "i-1", answer: make(chan struct{})}
 	f.percent.Store(100)
 	f.snapshot.Store(&model.Snapshot{
 		Self:        model.Upstream{Name: self, Service: "reservas", Instance: "i-1"},
@@ -88,7 +103,7 @@
 	transport := relay.NewTransport(connections, time.Minute)
 	t.Cleanup(transport.CloseIdleConnections)
 	view := f.snapshot.Load
-	f.gate = gate.New(gate.Settings[talk.Native]{
+	f.gate = gate.New(gate.Settings[dialect]{
 		Upstream:  address,
 		Transport: transport,
 		Snapshot:  view,
@@ -120,6 +135,10 @@
 		return
 	}
 	f.received.Add(1)
+	if f.replaced.Load() {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	time.Sleep(workTime)
 	if r.URL.Path != "/" {
 		<-f.answer
@@ -130,7 +149,7 @@
 func (f *fixture) run(ctx context.Context, path string) model.Reason {
 	now := time.Now()
 	call := model.Call{
-		ID: "1", Customer: "police", Service: "reservas", Route: "book", Instance: "i-1", Forced: true,
+		ID: "1", Customer: "police", Service: "reservas", Route: "book", Forced: true, Instance: f.listed,
 		Target: now.Add(callTimeout), Deadline: now.Add(callTimeout),
 	}
 	answer, failure := f.gate.Run(ctx, call, relay.Request{
@@ -220,6 +239,22 @@
 	}
 }
 
+// TestReplacedUpstreamIsAskedOnce checks that a gate whose upstream has answered that it is another instance sends it no
+// further calls for the listed one, until the list changes.
+func TestReplacedUpstreamIsAskedOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.replaced.Store(true)
+	qt.Assert(t, f.run(t.Context(), "/"), qt.Equals, model.InstanceRefused)
+	for range 3 {
+		qt.Assert(t, f.run(t.Context(), "/"), qt.Equals, model.InstanceStale)
+	}
+	qt.Assert(t, f.received.Load(), qt.Equals, int64(1))
+	f.replaced.Store(false)
+	f.listed = "i-2"
+	f.publish(func(s *model.Snapshot) { s.Self.Instance = "i-2" })
+	qt.Assert(t, f.run(t.Context(), "/"), qt.Equals, model.NoReason)
+}
+
 // waitUntil waits for a condition that holds sooner or later.
 func waitUntil(condition func() bool) {
 	for !condition() {
--- a/core/command/load/stats.go
+++ b/core/command/load/stats.go
@@ -43,7 +43,7 @@
 	switch reason {
 	case model.NoReason:
 		return Answered
-	case model.UpstreamDown, model.UpstreamReplaced:
+	case model.UpstreamDown, model.UpstreamReplaced, model.InstanceRefused, model.InstanceStale:
 		return Unreachable
 	case model.UpstreamDied, model.GateLost, model.Truncated:
 		return Failed
--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -114,6 +114,10 @@
 	BodyTooLarge // body_too_large
 	// UpstreamReplaced means that another instance now runs where the call was sent.
 	UpstreamReplaced // upstream_replaced
+	// InstanceRefused means that the upstream itself answered that it is another instance than the call is meant for.
+	InstanceRefused // instance_refused
+	// InstanceStale means that the gate refused because its upstream has just answered an earlier call like that.
+	InstanceStale // instance_stale
 	// NearlyFull means that all slots of the gate are in use, and that another upstream may have a free one.
 	NearlyFull // nearly_full
 	// UpstreamSlow means that the upstream's machine is in a slowdown caused by its neighbours.
--- a/core/query/retry/retry.go
+++ b/core/query/retry/retry.go
@@ -104,7 +104,7 @@
 // Reached reports whether an attempt that failed for the reason may have reached an upstream.
 func Reached(reason model.Reason) bool {
 	switch reason {
-	case model.QueueFull, model.TooLate, model.SlotsShort, model.UpstreamLeaving, model.UpstreamReplaced, model.UpstreamSlow, model.NearlyFull,
+	case model.QueueFull, model.TooLate, model.SlotsShort, model.UpstreamLeaving, model.UpstreamReplaced, model.InstanceStale, model.UpstreamSlow, model.NearlyFull,
 		model.DaemonPaused, model.NotReady, model.Stopping, model.Quarantined, model.UpstreamDown, model.NoContract:
 		return false
 	default:
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -14,6 +14,7 @@
 	"comfreytack/core/model"
 	"comfreytack/core/query/retry"
 	"comfreytack/core/query/route"
+	"comfreytack/core/traffic/stale"
 )
 
 // Attempter makes attempts at upstreams' gates in the encoding of one front end. A is the type of its answers.
@@ -44,6 +45,8 @@
 type Sender[P route.Policy] struct {
 	settings Settings
 	picker   *route.Picker[P]
+	// stale has the listed instances that no longer run.
+	stale stale.Memory
 	// scratch pools slices of candidates, so that choosing an upstream allocates none.
 	scratch sync.Pool
 }
@@ -73,11 +76,17 @@
 		if failure == nil {
 			return answer, nil
 		}
+		s.stale.Learn(s.settings.Now(), upstream.Name, upstream.Instance, failure.Reason)
 		canResend := attempter.CanResend() && ctx.Err() == nil
 		if canResend && refusedAsOverloaded(failure.Reason) {
 			progress.overloaded = append(progress.overloaded, upstream.Name)
 			continue
 		}
+		if canResend && failure.Reason == model.InstanceStale {
+			// The gate refused by what it remembers, which costs no upstream anything and is now remembered here too.
+			last = retry.Final(failure)
+			continue
+		}
 		call.Suspect = call.Suspect || retry.MayHaveCrashed(failure.Reason)
 		state = afterFailure(state, failure, progress.remaining(canResend))
 		if decision := s.decideRetry(state, call, failure); decision.Action == retry.GiveUp {
@@ -145,7 +154,7 @@
 	snapshot := s.settings.Snapshot()
 	all := s.settings.Tracker.Candidates(now, service, snapshot.Services[service].Upstreams, into)
 	return slices.DeleteFunc(all, func(c route.Candidate) bool {
-		return snapshot.Leaving.Contains(c.Upstream.Name)
+		return snapshot.Leaving.Contains(c.Upstream.Name) || s.stale.Refuses(now, c.Upstream.Name, c.Upstream.Instance)
 	})
 }
 
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -68,6 +68,8 @@
 	model.NoRoute:          http.StatusNotFound,
 	model.BodyTooLarge:     http.StatusRequestEntityTooLarge,
 	model.UpstreamReplaced: http.StatusServiceUnavailable,
+	model.InstanceRefused:  http.StatusServiceUnavailable,
+	model.InstanceStale:    http.StatusServiceUnavailable,
 	model.WrongAnswer:      http.StatusBadGateway,
 	model.NearlyFull:       http.StatusServiceUnavailable,
 	model.UpstreamSlow:     http.StatusServiceUnavailable,
