--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -5,17 +5,20 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"comfreytack/cftd/health"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/relay"
 	"comfreytack/cftd/talk"
+	"comfreytack/core/command/uplink"
 	"comfreytack/core/model"
 	"comfreytack/core/query/pace"
 	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/traffic/idle"
+	"comfreytack/core/traffic/stale"
 	"comfreytack/core/wire"
 )
 
@@ -41,11 +44,17 @@
 	Flight *flight.Tracker
 	// Work counts the calls that wait or run here.
 	Work *idle.Counter
+	// Uplink shares the machine's link among the answers to other daemons.
+	Uplink *uplink.Link
 }
 
 // Holder admits calls: it queues each until a slot of the upstream is free, or refuses it.
 type Holder interface {
 	Enter(ctx context.Context, call model.Call) (hold.Slot, *model.Failure)
+	// Check returns why a call that holds a slot may not be sent now.
+	Check(ctx context.Context, call model.Call) *model.Failure
+	// Confirm decides for the last time; it is called once for each send, immediately before the first byte.
+	Confirm(ctx context.Context, call model.Call) *model.Failure
 	Report() model.GateReport
 }
 
@@ -53,6 +62,8 @@
 type Gate[H Holder, D talk.Dialect] struct {
 	settings Settings[D]
 	hold     H
+	// stale remembers that the upstream is not the listed instance.
+	stale stale.Memory
 }
 
 // New returns a gate.
@@ -70,6 +81,10 @@
 		g.settings.Work.Leave()
 		return nil, failure
 	}
+	if call.Fingerprint == 0 && call.Prefix != 0 {
+		request.Tail = relay.NewTail(call.Prefix, request.Body.Length)
+		run.Watch(request.Tail.Fingerprint)
+	}
 	run.Start()
 	g.settings.Meter.Wait(call, slot.Waited)
 	answer, failure := g.roundTrip(ctx, call, request)
@@ -109,6 +124,9 @@
 func (g *Gate[H, D]) enter(ctx context.Context, call model.Call) (*flight.Run, hold.Slot, *model.Failure) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(-refusalLead))
 	defer cancel()
+	if g.stale.Refuses(g.settings.Now(), g.self(), call.Instance) {
+		return nil, hold.Slot{}, talk.Refuse(model.InstanceStale)
+	}
 	run, failure := g.settings.Flight.Begin(ctx, call)
 	if failure != nil {
 		return nil, hold.Slot{}, failure
@@ -130,10 +148,15 @@
 }
 
 // waitOutSlowdown delays a call that holds a slot while the upstream's machine is slowed and waiting costs less than
-// starting now. It decides anew every health.PaceMaxAge.
+// starting now. It decides anew every health.PaceMaxAge, and gives the call up when it may no longer be sent, so that
+// its entry learns of that at once.
 func (g *Gate[H, D]) waitOutSlowdown(ctx context.Context, call model.Call, slot hold.Slot) *model.Failure {
 	began := g.settings.Now()
 	for {
+		if failure := g.hold.Check(ctx, call); failure != nil {
+			slot.Release(hold.Useless)
+			return failure
+		}
 		now := g.settings.Now()
 		switch pace.OnStart(now, g.settings.Pace.Read(ctx), call, slot.ExpectedDuration, now.Sub(began)) {
 		case pace.Start:
@@ -146,8 +169,6 @@
 		select {
 		case <-time.After(health.PaceMaxAge):
 		case <-ctx.Done():
-			slot.Release(hold.Useless)
-			return &model.Failure{Verdict: model.NotRun, Reason: model.TooLate, Cause: ctx.Err()}
 		}
 	}
 }
@@ -158,10 +179,23 @@
 	wire.RemoveOwnHeaders(request.Header)
 	g.settings.Dialect.SetUpstream(request.Header, call, g.settings.Now())
 	request.AllowCloseDelimited = g.settings.Dialect.AllowCloseDelimited()
+	var refusal atomic.Pointer[model.Failure]
+	request.Confirm = func() *model.Failure {
+		failure := g.confirm(ctx, call)
+		refusal.Store(failure)
+		return failure
+	}
 	request.CheckAnswer = func(answer *http.Response) *model.Failure {
 		return g.settings.Dialect.CheckAnswer(call, g.settings.Snapshot().Services[call.Service], answer)
 	}
 	answer, failure := relay.RoundTrip(ctx, g.settings.Transport, request, model.UpstreamDied)
+	if failure != nil {
+		g.stale.Learn(g.settings.Now(), g.self(), call.Instance, failure.Reason)
+	}
+	if failure != nil && failure == refusal.Load() {
+		g.settings.Meter.Decision(call, failure.Reason)
+		g.logDecision(call, hold.Slot{}, failure)
+	}
 	if failure != nil {
 		return nil, failure
 	}
@@ -172,6 +206,16 @@
 	return answer, nil
 }
 
+// confirm is the last decision before a send.
+func (g *Gate[H, D]) confirm(ctx context.Context, call model.Call) *model.Failure {
+	if g.stale.Refuses(g.settings.Now(), g.self(), call.Instance) {
+		return talk.Refuse(model.InstanceStale)
+	}
+	return g.hold.Confirm(ctx, call)
+}
+
+func (g *Gate[H, D]) self() model.UpstreamName { return g.settings.Snapshot().Self.Name }
+
 // truncationFailure returns a failure when the upstream broke off its answer, and nil when the answer was complete or
 // the caller gave up first.
 func truncationFailure(ctx context.Context, body *relay.TrackedBody) *model.Failure {
@@ -181,8 +225,10 @@
 	return &model.Failure{Verdict: model.MayHaveRun, Reason: model.UpstreamDied, Cause: body.ReadErr()}
 }
 
-// IsRunning reports whether the upstream is working on the request with the given ID.
-func (g *Gate[H, D]) IsRunning(id string) bool { return g.settings.Flight.IsRunning(id) }
+// Running reports whether the upstream is working on the request with the given ID, and that request's rank.
+func (g *Gate[H, D]) Running(id string) (rank int, running bool) {
+	return g.settings.Flight.Running(id)
+}
 
 // Report describes the gate's load to entries.
 func (g *Gate[H, D]) Report() model.GateReport {
--- a/cftd/intake/conn.go
+++ b/cftd/intake/conn.go
@@ -74,14 +74,14 @@
 	if e == nil || !c.start(e) {
 		return false
 	}
-	if e.refusal != nil || e.request.Close || !e.request.ProtoAtLeast(1, 1) {
-		return false
-	}
-	if e.body == nil {
-		return true
+	if e.body != nil {
+		// Nothing else may read, not even to watch for the caller's close.
+		<-e.body.done
+		if !e.body.whole.Load() {
+			return false
+		}
 	}
-	<-e.body.done
-	return e.body.whole.Load()
+	return e.refusal == nil && !e.request.Close && e.request.ProtoAtLeast(1, 1)
 }
 
 // start runs the exchange as soon as it may run. It returns false when the connection ends first.
--- a/cftd/intake/session_test.go
+++ b/cftd/intake/session_test.go
@@ -182,6 +182,8 @@
 		{name: "too many empty lines", send: strings.Repeat("\r\n", 100) + get("/a"), want: []string{refused}},
 		{name: "line ends without CR", send: "GET /a HTTP/1.1\nHost: a\n\n", want: []string{"200 /a"}},
 		{name: "caller closes", send: "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + get("/b"), want: []string{"200 /a close", "closed"}},
+		{name: "caller closes, with a body", send: post + "Connection: close\r\nContent-Length: 5\r\n\r\nbed 7", want: []string{"200 /w bed 7 close", "closed"}},
+		{name: "HTTP/1.0 with a body", send: "POST /w HTTP/1.0\r\nContent-Length: 5\r\n\r\nbed 7", want: []string{"200 /w bed 7 close", "closed"}},
 		{name: "handler closes", send: get("/close") + get("/w"), want: []string{"200 /close close", "closed"}},
 		{name: "HTTP/1.0", send: "GET /a HTTP/1.0\r\n\r\n", want: []string{"200 /a close", "closed"}},
 		{name: "HTTP/2", send: "GET /a HTTP/2.0\r\nHost: a\r\n\r\n", want: []string{"505 close", "closed"}},
--- a/cftd/relay/roundtrip.go
+++ b/cftd/relay/roundtrip.go
@@ -84,9 +84,15 @@
 	Header http.Header
 	// Body is the caller's body.
 	Body *Body
+	// Tail hashes the body of this attempt while it is sent; nil when its fingerprint is known or not needed.
+	Tail *Tail
 	// ExpectContinue sends "Expect: 100-continue", so that a body that can be sent only once is held back until the
 	// receiver asks for it.
 	ExpectContinue bool
+	// Confirm is called immediately before the first byte of the request is written, when a connection is ready and
+	// nothing waits any more; nil confirms every request. After a failure, whose verdict must be NotRun, nothing is
+	// written and the connection is closed. It must not block.
+	Confirm func() *model.Failure
 	// CheckAnswer returns a failure when the response is not an answer to this request; nil accepts every response.
 	// After a failure other than NotRun the connection is closed.
 	CheckAnswer func(answer *http.Response) *model.Failure
@@ -98,12 +104,15 @@
 // request was written or CheckAnswer says so. A failure of the connection after a byte was written has reason
 // lostReason, unless ctx has ended.
 func RoundTrip(ctx context.Context, transport *http.Transport, request Request, lostReason model.Reason) (*http.Response, *model.Failure) {
-	var sent progress
+	sent := progress{confirm: request.Confirm}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { sent.useConn(info.Conn) },
 	})
 	outgoing := outgoingRequest(request).WithContext(ctx)
 	answer, err := transport.RoundTrip(outgoing)
+	if failure := sent.refusal(); err != nil && failure != nil {
+		return nil, failure
+	}
 	if err != nil {
 		return nil, roundTripFailure(ctx, err, sent.wrote(), lostReason)
 	}
@@ -163,6 +172,10 @@
 		// Without an entry the transport would add its own User-Agent.
 		request.Header["User-Agent"] = []string{""}
 	}
+	body := request.Body.Open()
+	if request.Tail != nil {
+		body = &tailReader{ReadCloser: body, tail: request.Tail}
+	}
 	return &http.Request{
 		Method: request.Method,
 		URL: &url.URL{
@@ -174,7 +187,7 @@
 		},
 		Host:          request.Host,
 		Header:        request.Header,
-		Body:          request.Body.Open(),
+		Body:          body,
 		ContentLength: request.Body.Length,
 	}
 }
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -31,6 +31,7 @@
 	"comfreytack/core/command/poison"
 	"comfreytack/core/command/prior"
 	"comfreytack/core/command/probe"
+	"comfreytack/core/command/uplink"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/query/route"
@@ -55,10 +56,15 @@
 	gateIdleTimeout     = time.Minute
 	downRecheckInterval = 20 * time.Millisecond
 	maxLearntRoutes     = 1024
+	// usedRetryShare is how much of the allowed retries daemons use. The rest is for calls that requests make when they
+	// run once more: they count as retries too, and nobody sees that they are.
+	usedRetryShare = 0.85
 	// These bound what a home stores for each customer.
 	keysPerCustomer        = 1024
 	answerBytesPerCustomer = 128 << 10
 	answerLifetime         = 10 * time.Minute
+	// spoolBytes bounds the memory for bodies that are read before they are sent, because they may crash upstreams.
+	spoolBytes = 8 << 20
 )
 
 // parts has what Serve starts and stops: the servers of the HTTP ports and the functions of the other components.
@@ -95,6 +101,8 @@
 	probeBudget   *probe.Budget
 	// budget bounds the memory and descriptors of accepted connections.
 	budget *intake.Budget
+	// uplink shares the machine's link among the answers of the gate.
+	uplink *uplink.Link
 	// stopper stops the daemon.
 	stopper *stopper
 }
@@ -121,9 +129,13 @@
 		gateTransport: relay.NewTransport(gateConnections, gateIdleTimeout),
 		loads:         load.New(self, load.DefaultSettings()),
 		probeBudget:   probe.New(time.Now(), probe.DefaultSettings()),
+		uplink:        uplink.New(settings.Limits.BandwidthMbps),
 		stopper:       stopper,
 	}
 	plane.registerMetrics(deps.meter)
+	deps.meter.Watch("comfreytack_uplink_delayed_us_total", "Time that parts of large answers waited for the machine's link, in microseconds.", func() uint64 {
+		return uint64(deps.uplink.Delayed().Microseconds())
+	})
 	if front.LinesDropped != nil {
 		deps.meter.Watch("comfreytack_log_lines_dropped_total", "Log lines over the bound, or that nobody read.", front.LinesDropped)
 	}
@@ -172,6 +184,7 @@
 		Meter:     deps.meter,
 		Pace:      newPace(deps),
 		Work:      &deps.stopper.work,
+		Uplink:    deps.uplink,
 		Flight: flight.New(flight.Settings{
 			Self:            deps.self,
 			Detector:        deps.detector,
@@ -212,6 +225,8 @@
 		UsedTime:   prior.New(),
 		Log:        deps.log,
 		IssuesKeys: deps.front.IssuesKeys,
+		Suspected:  func(prefix model.Fingerprint) bool { return deps.detector.Suspected(time.Now(), prefix) },
+		Spool:      relay.NewSpool(spoolBytes),
 		Meter:      deps.meter,
 	})
 	operators := admin.Handler(admin.Settings{Snapshot: deps.control.Snapshot, LameDuck: deps.stopper.lameDuck.Load, Report: localGate.Report, Meter: deps.meter, Version: Version})
@@ -264,6 +279,8 @@
 		Tracker:     deps.loads,
 		ProbeBudget: deps.probeBudget,
 		Retries:     budget.New(deps.front.Retries),
+
+		RetryPercent: int(usedRetryShare * deps.settings.RetryShare * 100),
 	}, route.New(policy))
 	return func(ctx context.Context, call model.Call, attempter send.Attempter[*http.Response]) (*http.Response, *model.Failure) {
 		return send.Send(ctx, sender, call, attempter)
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -20,6 +20,7 @@
 	defaultDescriptors = 4096
 	minDescriptors     = 256
 	maxDescriptors     = 1 << 20
+	maxBandwidthMbps   = 10_000_000
 )
 
 // Settings configures one daemon at its start. No setting changes a customer's limits.
@@ -48,16 +49,21 @@
 	StopMs float64 `json:"stop_ms,omitempty"`
 	// Limits has what the operating system lets this process use.
 	Limits Limits `json:"limits,omitzero"`
+	// RetryShare is the largest share of a service's calls that all daemons together may send once more, from 0 to 1; zero
+	// means as the customers' contracts say.
+	RetryShare float64 `json:"retry_share,omitzero"`
 	// Log configures the log output.
 	Log Log `json:"log,omitempty"`
 }
 
-// Limits has what the operating system lets the daemon's process use. The daemon stays below both.
+// Limits has what the operating system and the machine let the daemon's process use. The daemon stays below each.
 type Limits struct {
 	// MemoryMB is the memory of the process in MB of 2^20 bytes, from 32; zero means defaultMemoryMB.
 	MemoryMB int `json:"memory_mb,omitzero"`
 	// Descriptors is how many files and sockets the process may have open, from 256; zero means defaultDescriptors.
 	Descriptors int `json:"descriptors,omitzero"`
+	// BandwidthMbps is the bandwidth of the machine's link in Mbit/s; zero means that it is not known.
+	BandwidthMbps float64 `json:"bandwidth_mbps,omitzero"`
 }
 
 // Log configures the log output.
@@ -85,7 +91,7 @@
 	}
 	settings.Limits = settings.Limits.OrDefault()
 	for _, check := range []func(Settings) (field, found, allowed string){
-		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLimits, checkLog,
+		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLimits, checkRetries, checkLog,
 	} {
 		if field, found, allowed := check(settings); field != "" {
 			return Settings{}, strict.FaultAt(file, data, field, found, allowed)
@@ -179,6 +185,17 @@
 			return limit.field, strconv.Itoa(limit.value), fmt.Sprintf("%d to %d", limit.min, limit.max)
 		}
 	}
+	if s.Limits.BandwidthMbps < 0 || s.Limits.BandwidthMbps > maxBandwidthMbps {
+		found := strconv.FormatFloat(s.Limits.BandwidthMbps, 'g', -1, 64)
+		return "limits.bandwidth_mbps", found, fmt.Sprintf("0 to %d Mbit/s", maxBandwidthMbps)
+	}
+	return "", "", ""
+}
+
+func checkRetries(s Settings) (field, found, allowed string) {
+	if s.RetryShare < 0 || s.RetryShare > 1 {
+		return "retry_share", strconv.FormatFloat(s.RetryShare, 'g', -1, 64), "0 to 1"
+	}
 	return "", "", ""
 }
 
--- a/core/traffic/flight/flight_test.go
+++ b/core/traffic/flight/flight_test.go
@@ -31,8 +31,11 @@
 	downAt atomic.Pointer[time.Time]
 }
 
+// rankOfRuns is the rank of all requests.
+const rankOfRuns = 2
+
 func (h *harness) begin(fingerprint model.Fingerprint) *flight.Run {
-	run, failure := h.flight.Begin(context.Background(), model.Call{ID: fmt.Sprintf("req-%d", fingerprint), Fingerprint: fingerprint})
+	run, failure := h.flight.Begin(context.Background(), model.Call{ID: fmt.Sprintf("req-%d", fingerprint), Fingerprint: fingerprint, Rank: rankOfRuns})
 	qt.Assert(h, failure == nil, qt.IsTrue)
 	return run
 }
@@ -43,6 +46,15 @@
 	return run
 }
 
+// upload starts a request whose body is streamed: it has a prefix, and a fingerprint once it was read to its end.
+func (h *harness) upload(prefix, streamed model.Fingerprint) *flight.Run {
+	run, failure := h.flight.Begin(context.Background(), model.Call{ID: "upload", Prefix: prefix})
+	qt.Assert(h, failure == nil, qt.IsTrue)
+	run.Watch(func() model.Fingerprint { return streamed })
+	run.Start()
+	return run
+}
+
 func (h *harness) goDown(at time.Time) { h.downAt.Store(&at) }
 
 func (h *harness) down() bool {
@@ -130,6 +142,35 @@
 			wantSuspects:    []model.Fingerprint{1, 1},
 			wantQuarantined: 1,
 		},
+		{
+			name:         "a streamed body is suspected, and all that begin like it",
+			act:          func(h *harness) { h.crash(h.upload(1, 2)) },
+			wantSuspects: []model.Fingerprint{1, 2},
+		},
+		{
+			name:         "a streamed body whose end was not read is known by its prefix",
+			act:          func(h *harness) { h.crash(h.upload(1, 0)) },
+			wantSuspects: []model.Fingerprint{1},
+		},
+		{
+			name: "a success clears a streamed body, but not its prefix",
+			act: func(h *harness) {
+				h.crash(h.upload(1, 2))
+				h.upload(1, 2).End(nil)
+			},
+			wantSuspects: []model.Fingerprint{1},
+		},
+		{
+			name: "a body that is too long to be read first is judged by its prefix",
+			act: func(h *harness) {
+				h.crash(h.upload(1, 2))
+				h.crash(h.upload(1, 3))
+				_, failure := h.flight.Begin(context.Background(), model.Call{ID: "upload", Prefix: 1})
+				qt.Assert(h, failure.Reason, qt.Equals, model.Quarantined)
+			},
+			wantSuspects:    []model.Fingerprint{1, 1, 2, 3},
+			wantQuarantined: 1,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -162,7 +203,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				h := newHarness(t)
 				test.act(h)
-				qt.Assert(t, h.flight.IsRunning("req-1"), qt.Equals, test.want)
+				rank, running := h.flight.Running("req-1")
+				qt.Assert(t, running, qt.Equals, test.want)
+				if test.want {
+					qt.Assert(t, rank, qt.Equals, rankOfRuns)
+				}
 			})
 		})
 	}
