--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -93,6 +93,8 @@
 	// ByReader is the newest one in a report of a read. A daemon that lacks changes after such a report reads them. Of a
 	// revision in a digest only, the report is still on its way, or this daemon's knowledge is about to get old.
 	ByReader model.Revision
+	// ArrivingSince is when the read in flight has shown that it brings a large change; zero when it has not.
+	ArrivingSince time.Time
 }
 
 // New returns the state of a daemon without any configuration.
@@ -131,6 +133,7 @@
 	case ChangesRead:
 		effects = append(effects, s.changesRead(now, e)...)
 	case LargeChange:
+		s.Reported.ArrivingSince = now
 		effects = append(effects, s.reportLargeChange(now, e.After)...)
 	case MessageReceived:
 		effects = append(effects, s.messageReceived(now, e.Message)...)
--- a/core/command/daemon/listed_test.go
+++ b/core/command/daemon/listed_test.go
@@ -243,6 +243,8 @@
 		name string
 		// fails makes the read that follows fail.
 		fails bool
+		// arrives says that the read has begun to bring the change.
+		arrives bool
 		// after is the time between the first report and the second.
 		after time.Duration
 		reads bool
@@ -250,6 +252,8 @@
 	}{
 		{name: "at the next report", after: 100 * time.Millisecond, reads: true},
 		{name: "the read takes long", after: 700 * time.Millisecond, reads: true, asks: true},
+		{name: "the read takes long and brings the change", arrives: true, after: 700 * time.Millisecond, reads: true},
+		{name: "the read brings the change for too long", arrives: true, after: 1700 * time.Millisecond, reads: true, asks: true},
 		{name: "the read fails", fails: true, after: 100 * time.Millisecond, reads: true, asks: true},
 	}
 	for _, test := range tests {
@@ -270,6 +274,9 @@
 			other.now = other.now.Add(100 * time.Millisecond)
 			_, reads := requested(other.state.Tick(other.now, 0))
 			qt.Assert(t, reads, qt.Equals, test.reads)
+			if test.arrives {
+				other.state.Apply(other.now, daemon.LargeChange{After: other.revision - 1})
+			}
 			if test.fails {
 				other.state.Apply(other.now, daemon.ChangesRead{Failed: true})
 			}
--- a/core/command/daemon/reads.go
+++ b/core/command/daemon/reads.go
@@ -13,6 +13,8 @@
 const (
 	// ownReadTimeout is how long a daemon that lacks changes waits for its own read before it asks a peer as well.
 	ownReadTimeout = 700 * time.Millisecond
+	// arrivalTimeout is how long it waits once that read has shown that it brings a large change.
+	arrivalTimeout = 1500 * time.Millisecond
 	// startPeriod is how long a daemon counts as starting. Others that start with it change the list all the time.
 	startPeriod = 2 * time.Second
 )
@@ -27,6 +29,7 @@
 
 // readEnded records the end of a read.
 func (s *State) readEnded(now time.Time, succeeded bool) {
+	s.Reported.ArrivingSince = time.Time{}
 	if !s.Settings.Leased {
 		s.Reader.Ended(now, succeeded, s.Settings.Random)
 		return
@@ -72,7 +75,8 @@
 	if !s.Settings.Leased || s.Lease.Failures > 0 {
 		return false
 	}
-	return s.starting(now) || now.Sub(s.Reported.Since) < ownReadTimeout
+	arriving := !s.Reported.ArrivingSince.IsZero() && now.Sub(s.Reported.ArrivingSince) < arrivalTimeout
+	return arriving || s.starting(now) || now.Sub(s.Reported.Since) < ownReadTimeout
 }
 
 // readRank returns how many daemons read before this one. Those that could not be reached lately don't count.
