Take two crashes side by side for one event

One joint failure of two upstreams with the same innocent request in flight on both quarantined it for ten minutes, unless a copy elsewhere succeeded.

Change: each record says how long the request had run at its crash (ran_ms in the evidence, left out when zero), so every daemon can tell whether it was sent after an earlier crash. Two crashes quarantine when it was; a run that its gate let in alone, as a suspect, was. Three quarantine in any case: with bursts of sends side by side, more than three late retries could reach servers otherwise.

Ruled out: two crashes at least some time apart. A request that is re-sent at once would crash more than it must, and a machine failure that spreads over seconds would still convict an innocent. A trial at one gate at a time in place of the third crash was weighed and is not built. Odds: docs/design/routing.md. Left: an innocent request in flight on three or more upstreams that crash together is still quarantined if no copy of it succeeds.

--- a/core/command/poison/gossip.go
+++ b/core/command/poison/gossip.go
@@ -19,6 +19,9 @@
 	// RemainingMs is how long the crash still counts, in milliseconds. It is negative, down to minus
 	// CrashLifetime, for a crash that is kept because it may have caused a quarantine together with a later one.
 	RemainingMs int64 `json:"remaining_ms"`
+	// RanMs is how long the request had run at the crash, in milliseconds; zero for one known to have been sent after an
+	// earlier crash.
+	RanMs int64 `json:"ran_ms,omitzero"`
 }
 
 // Merge adds the evidence that a peer reported, and says whether any of it was new. It is commutative and idempotent,
@@ -31,7 +34,8 @@
 	for _, e := range reported {
 		remaining := min(time.Duration(e.RemainingMs)*time.Millisecond, d.settings.CrashLifetime)
 		if remaining > -d.settings.CrashLifetime {
-			added := record{crash: e.Crash, cleared: e.Cleared, until: now.Add(remaining)}
+			ran := time.Duration(max(0, e.RanMs)) * time.Millisecond
+			added := record{crash: e.Crash, cleared: e.Cleared, until: now.Add(remaining), ran: ran}
 			changed = d.add(now, e.Fingerprint, added) || changed
 		}
 	}
@@ -98,6 +102,7 @@
 		Crash:       r.crash,
 		Cleared:     r.cleared,
 		RemainingMs: r.until.Sub(now).Milliseconds(),
+		RanMs:       r.ran.Milliseconds(),
 	}
 }
 
--- a/core/command/poison/poison.go
+++ b/core/command/poison/poison.go
@@ -1,7 +1,8 @@
 // Package poison detects poison requests, which crash every upstream that runs them, and quarantines them.
 //
-// A request is identified by its fingerprint. One that was in flight at two crashes, with no success in
-// between, is quarantined for a time. After its first crash it is a suspect, and a gate runs suspects
+// A request is identified by its fingerprint. One that was sent again after a crash and was in flight at another, with
+// no success in between, is quarantined for a time. Two crashes that it was in flight at side by side may have one cause
+// of their own, such as a failure of several machines, and count as one; a third quarantines it in any case. After its first crash it is a suspect, and a gate runs suspects
 // one at a time: so the second crash points at one request, and those that were in flight beside it the
 // first time are cleared by their next success.
 //
@@ -19,8 +20,13 @@
 	"comfreytack/core/model"
 )
 
-// CrashesToQuarantine is how many crashes without a success in between put a request into quarantine.
-const CrashesToQuarantine = 2
+const (
+	// CrashesToQuarantine is how many crashes without a success in between put a request into quarantine that was sent
+	// again in between.
+	CrashesToQuarantine = 2
+	// JointCrashesToQuarantine is how many put it into quarantine in any case.
+	JointCrashesToQuarantine = 3
+)
 
 const (
 	// sendsPerEntry is in how many messages a daemon passes on new evidence.
@@ -35,7 +41,8 @@
 	CrashLifetime time.Duration
 	// Fingerprints bounds the fingerprints that are remembered; at least 1.
 	Fingerprints int
-	// CrashesPerFingerprint bounds the crashes remembered for one fingerprint; at least CrashesToQuarantine.
+	// CrashesPerFingerprint bounds the crashes remembered for one fingerprint; at least
+	// JointCrashesToQuarantine.
 	CrashesPerFingerprint int
 	// GossipSize bounds the entries in a message that passes on everything.
 	GossipSize int
@@ -53,6 +60,14 @@
 	Incarnation model.Incarnation  `json:"incarnation"`
 }
 
+// Run is a request in flight at a crash.
+type Run struct {
+	Fingerprint model.Fingerprint
+	// StartedAt is when it was sent to the upstream; the time of the crash when it is known to have been sent after an
+	// earlier crash.
+	StartedAt time.Time
+}
+
 // Admission is the decision whether a gate may run a request.
 type Admission int
 
@@ -77,17 +92,6 @@
 	alone    bool
 }
 
-// record is a crash of one fingerprint. It counts until the time until. For one CrashLifetime more it is passed on by
-// gossip, because it may have caused a quarantine together with a later crash. For another one it is only kept, so that
-// a message that was delayed for less than CrashLifetime does not add it again.
-type record struct {
-	crash   Crash
-	cleared bool
-	until   time.Time
-	// sendsLeft is in how many more messages the record is passed on as new.
-	sendsLeft int
-}
-
 // New returns an empty Detector.
 func New(settings Settings) *Detector {
 	return &Detector{settings: settings, suspects: map[model.Fingerprint][]record{}}
@@ -96,14 +100,15 @@
 // Crashed records that an upstream crashed with the given requests in flight. Requests without a
 // fingerprint are skipped, since they cannot be told apart.
 func (d *Detector) Crashed(
-	now time.Time, upstream model.UpstreamName, incarnation model.Incarnation, inFlight []model.Fingerprint,
+	now time.Time, upstream model.UpstreamName, incarnation model.Incarnation, inFlight []Run,
 ) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sweep(now)
 	crash := Crash{Upstream: upstream, Incarnation: incarnation}
-	for _, fingerprint := range inFlight {
-		d.add(now, fingerprint, record{crash: crash, until: now.Add(d.settings.CrashLifetime)})
+	for _, run := range inFlight {
+		added := record{crash: crash, until: now.Add(d.settings.CrashLifetime), ran: max(0, now.Sub(run.StartedAt))}
+		d.add(now, run.Fingerprint, added)
 	}
 }
 
@@ -235,45 +240,3 @@
 		}
 	}
 }
-
-// quarantine returns the end of the quarantine, if there is one: one lifetime after the newest crash that came while
-// an earlier one still counted.
-func quarantine(now time.Time, records []record, lifetime time.Duration) (time.Time, bool) {
-	var ends []time.Time
-	for _, r := range records {
-		if !r.cleared {
-			ends = append(ends, r.until)
-		}
-	}
-	slices.SortFunc(ends, func(a, b time.Time) int { return b.Compare(a) })
-	for i := 0; i+1 < len(ends) && ends[i].After(now); i++ {
-		if ends[i].Sub(ends[i+1]) < lifetime {
-			return ends[i], true
-		}
-	}
-	return time.Time{}, false
-}
-
-func countActive(now time.Time, records []record) int {
-	count := 0
-	for _, r := range records {
-		if r.active(now) {
-			count++
-		}
-	}
-	return count
-}
-
-func (r record) active(now time.Time) bool {
-	return !r.cleared && r.until.After(now)
-}
-
-func newest(records []record) time.Time {
-	latest := records[0].until
-	for _, r := range records[1:] {
-		if r.until.After(latest) {
-			latest = r.until
-		}
-	}
-	return latest
-}
--- a/core/traffic/flight/flight.go
+++ b/core/traffic/flight/flight.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	mapset "github.com/deckarep/golang-set/v2"
-
 	"comfreytack/core/command/poison"
 	"comfreytack/core/model"
 )
@@ -190,9 +188,9 @@
 	t.settings.DetectorChanged()
 }
 
-// recordCrash returns the incarnation that crashed and the fingerprints in flight at the crash. A broken request
+// recordCrash returns the incarnation that crashed and the requests in flight at the crash. A broken request
 // that started after the last crash means that the upstream had restarted in between, so this is a new crash.
-func (t *Tracker) recordCrash(startedAt, brokenAt time.Time) (model.Incarnation, []model.Fingerprint) {
+func (t *Tracker) recordCrash(startedAt, brokenAt time.Time) (model.Incarnation, []poison.Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if startedAt.After(t.crashedAt) {
@@ -212,19 +210,35 @@
 	return t.broken
 }
 
-// suspects returns the fingerprints in flight at the last crash. The caller holds the lock.
-func (t *Tracker) suspects() []model.Fingerprint {
-	suspects := mapset.NewThreadUnsafeSet[model.Fingerprint]()
+// suspects returns the requests in flight at the last crash. Of those with the same fingerprint it returns the one that
+// was sent last. The caller holds the lock.
+func (t *Tracker) suspects() []poison.Run {
+	started := map[model.Fingerprint]time.Time{}
+	add := func(r *Run) {
+		startedAt := r.startedAt
+		if r.alone {
+			// A suspect was sent after an earlier crash.
+			startedAt = t.crashedAt
+		}
+		for _, fingerprint := range []model.Fingerprint{r.whole(), r.prefix} {
+			if fingerprint != 0 && !startedAt.Before(started[fingerprint]) {
+				started[fingerprint] = startedAt
+			}
+		}
+	}
 	for r := range t.running {
-		suspects.Append(r.whole(), r.prefix)
+		add(r)
 	}
 	for _, b := range t.broken {
 		if b.run.startedAt.After(t.previousCrashAt) {
-			suspects.Append(b.run.whole(), b.run.prefix)
+			add(b.run)
 		}
 	}
-	suspects.Remove(0)
-	return suspects.ToSlice()
+	suspects := make([]poison.Run, 0, len(started))
+	for fingerprint, startedAt := range started {
+		suspects = append(suspects, poison.Run{Fingerprint: fingerprint, StartedAt: startedAt})
+	}
+	return suspects
 }
 
 func (t *Tracker) aloneEndedChan() chan struct{} {
--- a/core/traffic/flight/flight_test.go
+++ b/core/traffic/flight/flight_test.go
@@ -139,6 +139,26 @@
 			wantSuspects:    []model.Fingerprint{1, 1},
 			wantQuarantined: 1,
 		},
+		{
+			name: "a request that was sent before an earlier crash and breaks later is no second evidence",
+			act: func(h *harness) {
+				long := h.start(1)
+				time.Sleep(time.Second)
+				h.detector.Crashed(time.Now(), "other", 1, []poison.Run{{Fingerprint: 1, StartedAt: time.Now().Add(-time.Second)}})
+				time.Sleep(time.Second)
+				h.crash(long)
+			},
+			wantSuspects: []model.Fingerprint{1, 1},
+		},
+		{
+			name: "a suspect that crashes another upstream is quarantined",
+			act: func(h *harness) {
+				h.detector.Crashed(time.Now(), "other", 1, []poison.Run{{Fingerprint: 1, StartedAt: time.Now()}})
+				h.crash(h.start(1))
+			},
+			wantSuspects:    []model.Fingerprint{1, 1},
+			wantQuarantined: 1,
+		},
 		{
 			name:         "a streamed body is suspected, and all that begin like it",
 			act:          func(h *harness) { h.crash(h.upload(1, 2)) },
