Assume an upstream of which nothing is known to be as fast as the others, not faster

What is known of an upstream fades within 5 s; it was then assumed to need 10 ms, where the others need 50 to 300 ms, so that each far upstream looked best as soon as it was forgotten.

Ruled out: the near servers were not full; retries are a sixth of the calls; the subset has near servers enough.

Change: route.Weighted.AssumeMean, which near_first sets: the mean of what is known of the candidates takes the place of the assumed time. The default policy is as before.

--- a/core/query/route/names.go
+++ b/core/query/route/names.go
@@ -71,6 +71,7 @@
 	policy.NearChoices = nearChoices
 	policy.FarFactor = farFactor
 	policy.OverloadFactor = overloadFactor
+	policy.AssumeMean = true
 	return policy
 }
 
--- a/core/query/route/weighted.go
+++ b/core/query/route/weighted.go
@@ -36,6 +36,9 @@
 	OverloadFactor float64
 	// ServiceTime is assumed of an upstream of which nothing is known; positive.
 	ServiceTime time.Duration
+	// AssumeMean makes the mean of the upstreams of which something is known replace ServiceTime, if there are any.
+	// Otherwise an upstream that has not been called for long looks faster than all others of a slow service.
+	AssumeMean bool
 	// Slots is assumed of an upstream of which nothing is known; at least 1.
 	Slots int
 	// ExploreOneIn sends one in so many calls to the candidate whose last answer is the oldest; zero sends none. Without
@@ -52,6 +55,9 @@
 	if p.ExploreOneIn > 0 && random(p.ExploreOneIn) == 0 {
 		return leastRecentlyAnswered(candidates)
 	}
+	if p.AssumeMean {
+		p.ServiceTime = p.meanServiceTime(now, candidates)
+	}
 	near := 0
 	if p.NearChoices > 0 {
 		near = moveNearFirst(candidates)
@@ -64,6 +70,40 @@
 	return bestNear
 }
 
+// meanServiceTime returns the mean service time of the candidates, each weighted by how recent the knowledge of it is, or
+// ServiceTime when nothing is known of any.
+func (p Weighted) meanServiceTime(now time.Time, candidates []Candidate) time.Duration {
+	var sum, weights float64
+	for i := range candidates {
+		value, weight := p.knownServiceTime(now, &candidates[i])
+		sum += weight * value
+		weights += weight
+	}
+	if weights == 0 {
+		return p.ServiceTime
+	}
+	return max(1, time.Duration(sum/weights))
+}
+
+// knownServiceTime returns what is known of a candidate's service time, and how recent that is: from 0, nothing is
+// known, to 1.
+func (p Weighted) knownServiceTime(now time.Time, c *Candidate) (value, weight float64) {
+	reportWeight, latencyWeight := 0.0, 0.0
+	if c.Report.ServiceUs > 0 {
+		reportWeight = ageWeight(now, c.ReportAt, p.ServiceLifetime)
+	}
+	if c.Latency > 0 {
+		latencyWeight = ageWeight(now, c.LatencyAt, p.LatencyLifetime)
+	}
+	reportWeight *= 1 - latencyWeight
+	weight = reportWeight + latencyWeight
+	if weight == 0 {
+		return 0, 0
+	}
+	reported := float64(c.Report.ServiceUs) * float64(time.Microsecond)
+	return (reportWeight*reported + latencyWeight*float64(c.Latency)) / weight, weight
+}
+
 // cheapest returns the index and the cost of the best of a few random candidates; the cost is infinite when there are
 // none.
 func (p Weighted) cheapest(now time.Time, random Random, candidates []Candidate, choices int) (int, float64) {
