--- a/cftd/start/changes.go
+++ b/cftd/start/changes.go
@@ -17,6 +17,9 @@
 				attributes = append(attributes,
 					field.Upstream, change.Upstream.Name, field.Instance, change.Upstream.Instance, field.Service, change.Upstream.Service)
 			}
+			if change.FailureDomain != "" {
+				attributes = append(attributes, field.FailureDomain, change.FailureDomain)
+			}
 			log.Warn(change.Kind.String(), attributes...)
 		}
 	}
--- a/cftd/talk/native.go
+++ b/cftd/talk/native.go
@@ -177,5 +177,8 @@
 // PacePercent implements Dialect: the upstreams' answers do not report a pace.
 func (Native) PacePercent(http.Header) int { return 0 }
 
+// WarmupLeft implements Dialect.
+func (Native) WarmupLeft(header http.Header) time.Duration { return wire.ReadWarmup(header) }
+
 // AllowCloseDelimited implements Dialect.
 func (Native) AllowCloseDelimited() bool { return false }
--- a/cftd/talk/talk.go
+++ b/cftd/talk/talk.go
@@ -28,6 +28,9 @@
 	// PacePercent reads from the headers of an upstream's answer how long work takes on its machine now, in percent of
 	// the usual time; zero when they do not say.
 	PacePercent(header http.Header) int
+	// WarmupLeft reads from the headers of an upstream's answer at its health path how much longer it is cold; zero when
+	// it is warm.
+	WarmupLeft(header http.Header) time.Duration
 	// AllowCloseDelimited reports whether an upstream's answer may have neither a length nor chunks and end when its
 	// connection is closed.
 	AllowCloseDelimited() bool
--- a/core/command/config/config.go
+++ b/core/command/config/config.go
@@ -60,6 +60,8 @@
 	// Instances has the upstreams that are published one by one, and Documents the document, if there is one.
 	Instances *Table[model.InstanceID, model.Upstream]
 	Documents *Table[string, model.Document]
+	// Evacuations has the failure domains that are evacuated.
+	Evacuations *Table[model.FailureDomain, model.Evacuation]
 	// Refusals says by key why the newest value is not in force; at most maxRefusals.
 	Refusals map[string]model.Refusal
 	// Recent has the newest changes, including those of services that are not kept.
@@ -76,7 +78,9 @@
 		Instances: NewTable[model.InstanceID, model.Upstream](),
 		Documents: NewTable[string, model.Document](),
 		Refusals:  map[string]model.Refusal{},
-		Recent:    Recent{MaxBytes: maxRecentBytes, MaxChanges: maxRecentChanges},
+
+		Evacuations: NewTable[model.FailureDomain, model.Evacuation](),
+		Recent:      Recent{MaxBytes: maxRecentBytes, MaxChanges: maxRecentChanges},
 	}
 }
 
@@ -104,7 +108,7 @@
 
 // hash changes with every value in force.
 func (s *Store) hash() uint64 {
-	return s.Contracts.Hash ^ s.Services.Hash ^ s.Marks.Hash ^ s.Instances.Hash ^ s.Documents.Hash
+	return s.Contracts.Hash ^ s.Services.Hash ^ s.Marks.Hash ^ s.Instances.Hash ^ s.Documents.Hash ^ s.Evacuations.Hash
 }
 
 // Since returns the changes after a revision, or false if they are no longer known and a full copy is needed.
@@ -137,6 +141,9 @@
 		s.updateRefusal(change, setEntry(s.Marks, name, change, check.Mark))
 	case strings.HasPrefix(change.Key, check.InstancePrefix):
 		s.setInstance(change)
+	case strings.HasPrefix(change.Key, check.EvacuationPrefix):
+		domain := model.FailureDomain(strings.TrimPrefix(change.Key, check.EvacuationPrefix))
+		s.updateRefusal(change, setEntry(s.Evacuations, domain, change, check.Evacuation))
 	case change.Key == check.DocumentKey:
 		s.setDocument(change)
 	default:
--- a/core/command/config/copy.go
+++ b/core/command/config/copy.go
@@ -49,6 +49,7 @@
 	s.Marks.retain(keys)
 	s.Instances.retain(keys)
 	s.Documents.retain(keys)
+	s.Evacuations.retain(keys)
 	clear(s.Refusals)
 	s.setAll(source)
 	s.Complete = source.Revision
@@ -104,7 +105,7 @@
 
 // CopyFor returns a copy with all that a store of the given services needs, or of everything if none are given.
 func (s *Store) CopyFor(services []model.ServiceName) Copy {
-	changes := slices.Concat(s.Contracts.changes(), s.Services.changes(), s.Marks.changes(), s.Instances.changes(), s.Documents.changes())
+	changes := slices.Concat(s.Contracts.changes(), s.Services.changes(), s.Marks.changes(), s.Instances.changes(), s.Documents.changes(), s.Evacuations.changes())
 	if len(services) > 0 {
 		wanted := mapset.NewThreadUnsafeSet(services...)
 		changes = slices.DeleteFunc(changes, func(change model.Change) bool {
--- a/core/command/daemon/listed.go
+++ b/core/command/daemon/listed.go
@@ -69,6 +69,8 @@
 		service.Name = named.Name
 		service.Connections = named.Connections
 		service.HealthPath = named.HealthPath
+		service.WarmupPerS = named.WarmupPerS
+		service.WarmupMs = named.WarmupMs
 		services[named.Name] = service
 	}
 	known := func(upstream model.Upstream) bool {
--- a/core/command/daemon/talk.go
+++ b/core/command/daemon/talk.go
@@ -132,7 +132,7 @@
 func (s *State) digest() gossip.Digest {
 	return gossip.Digest{
 		Revision:  s.Config.Complete,
-		Contracts: s.Config.Contracts.Hash,
+		Contracts: s.Config.Contracts.Hash ^ s.Config.Evacuations.Hash,
 		Scope:     s.Config.Scope(),
 		Services:  s.Config.Services.Hash ^ s.Config.Instances.Hash ^ s.Config.Documents.Hash,
 		Ready:     s.Start.Ready && !s.Pause.Suspect,
--- a/core/command/daemon/view.go
+++ b/core/command/daemon/view.go
@@ -21,6 +21,7 @@
 	contracts, services uint64
 	slots               int
 	document            uint64
+	evacuations         uint64
 }
 
 // rebuild updates the parts of the snapshot that follow from configuration and notices. Traffic may still read
@@ -35,6 +36,8 @@
 		contracts: s.Config.Contracts.Hash ^ s.Config.Documents.Hash,
 		services:  s.Config.Services.Hash ^ s.Config.Instances.Hash ^ s.Config.Documents.Hash ^ uint64(len(s.Expired.Kept)),
 		document:  s.Config.Documents.Hash,
+
+		evacuations: s.Config.Evacuations.Hash,
 	}
 	if snapshot.Contracts == nil || current.contracts != s.inputs.contracts {
 		snapshot.Contracts = values(s.Config.Contracts)
@@ -49,6 +52,9 @@
 		snapshot.Services = withInstances(values(s.Config.Services), document, instances)
 		s.instancesChanged(snapshot.Services)
 	}
+	if current.services != s.inputs.services || current.evacuations != s.inputs.evacuations {
+		snapshot.Evacuated, snapshot.Open = evacuate(s.Config.Evacuations, snapshot.Services)
+	}
 	snapshot.Self = s.selfAsListed()
 	snapshot.Slots = s.slots(snapshot.Services)
 	current.slots = snapshot.Slots
@@ -78,6 +84,8 @@
 	self.Incarnation = listed.Incarnation
 	self.Slots = listed.Slots
 	self.State = listed.State
+	self.WarmupLeftMs = listed.WarmupLeftMs
+	self.Sequence = listed.Sequence
 	return self
 }
 
--- a/core/command/load/stats.go
+++ b/core/command/load/stats.go
@@ -67,6 +67,8 @@
 	failureHalfLife = 2 * time.Second
 	// minWarmth is the share of a full load at which the slow start of a new incarnation begins.
 	minWarmth = 0.1
+	// coldWarmth is the share of a full load that a cold upstream may take: its work takes longer.
+	coldWarmth = 0.25
 	// silenceFactor is how many times its mean latency a gate may take without a sign of life before it is checked.
 	silenceFactor = 2
 	// maxDoublings bounds how often the length of an ejection doubles.
@@ -231,7 +233,7 @@
 func (s *stats) candidate(now time.Time, settings *Settings) (route.Candidate, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return route.Candidate{
+	candidate := route.Candidate{
 		InFlight:         s.inFlight,
 		Report:           s.report,
 		ReportAt:         s.reportAt,
@@ -242,7 +244,11 @@
 		EjectedUntil:     s.ejectedUntil,
 		Warmth:           s.warmth(now, settings.Ramp),
 		Silent:           s.silent,
-	}, !s.report.Leaving
+	}
+	if candidate.Cold(now) {
+		candidate.Warmth = min(candidate.Warmth, coldWarmth)
+	}
+	return candidate, !s.report.Leaving
 }
 
 // warmth returns the slow-start factor: it rises linearly from minWarmth to 1 during the ramp, which starts again
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -12,6 +12,10 @@
 	Instance = "instance"
 	// Upstream is the upstream's name, which is also the name of its daemon.
 	Upstream = "upstream"
+	// FailureDomain is the failure domain that an operator evacuated or took back.
+	FailureDomain = "failure_domain"
+	// WarmupLeftMs is how much longer the upstream is cold.
+	WarmupLeftMs = "warmup_left_ms"
 	// Verdict and Reason describe the outcome, by the same values as the metrics.
 	Verdict = "verdict"
 	Reason  = "reason"
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -123,6 +123,12 @@
 	// PacePercent is the upstream's pace: how long work takes on its machine now as a percentage of the usual time.
 	// Zero when the upstream does not report it.
 	PacePercent int `json:"pace_percent,omitempty"`
+	// ColdMs is how much longer the upstream is cold, in ms; zero when it is warm or has no limit for that time.
+	ColdMs int `json:"cold_ms,omitempty"`
+	// ColdRoom is how many requests the cold upstream takes now, and ColdWaitMs when it takes one more, in ms; zero when
+	// ColdRoom is positive.
+	ColdRoom   int `json:"cold_room,omitempty"`
+	ColdWaitMs int `json:"cold_wait_ms,omitempty"`
 	// Leaving is true when the gate accepts no new work.
 	Leaving bool `json:"leaving"`
 	// Revision is the configuration in force at the gate.
--- a/core/model/change.go
+++ b/core/model/change.go
@@ -4,7 +4,8 @@
 
 // Change is one published change of one key; its value is not decoded yet.
 type Change struct {
-	// Key is "contracts/CUSTOMER", "services/NAME", "marks/UPSTREAM", "instances/ID" or "document".
+	// Key is "contracts/CUSTOMER", "services/NAME", "marks/UPSTREAM", "instances/ID", "document" or
+	// "evacuations/DOMAIN".
 	Key string `json:"key"`
 	// Revision is the position of the change in the published order; never zero.
 	Revision Revision `json:"revision"`
--- a/core/model/contract.go
+++ b/core/model/contract.go
@@ -36,6 +36,11 @@
 	Connections int `json:"connections"`
 	// HealthPath is the path at which an upstream reports its load; empty when it has none.
 	HealthPath string `json:"health_path,omitempty"`
+	// WarmupPerS is how many requests a second an upstream tolerates while it is cold; zero when the service sets no such
+	// limit.
+	WarmupPerS float64 `json:"warmup_per_s,omitzero"`
+	// WarmupMs is how long an upstream is cold after its start, in ms.
+	WarmupMs int `json:"warmup_ms,omitzero"`
 	// ShedStatus is the HTTP status with which upstreams refuse a request before any work, and which they use for
 	// nothing else; zero when there is none. It differs from every status that the daemons themselves send.
 	ShedStatus int `json:"shed_status,omitempty"`
--- a/core/model/mark.go
+++ b/core/model/mark.go
@@ -21,6 +21,10 @@
 	State Intent `json:"state"`
 }
 
+// Evacuation is an operator's request that the upstreams of one failure domain get no new work until it is withdrawn.
+// Its key says all.
+type Evacuation struct{}
+
 // MarshalText encodes the intent by name, for example "leaving".
 func (i Intent) MarshalText() ([]byte, error) { return []byte(i.String()), nil }
 
--- a/core/model/snapshot.go
+++ b/core/model/snapshot.go
@@ -30,8 +30,12 @@
 	Services map[ServiceName]Service
 	// Leaving has the upstreams that accept no new work, according to any source.
 	Leaving mapset.Set[UpstreamName]
-	// Evacuated has the failure domains whose upstreams take no new work until an operator takes them back.
+	// Evacuated has the failure domains whose upstreams take no new work until an operator takes them back; nil means
+	// none.
 	Evacuated mapset.Set[FailureDomain]
+	// Open has the upstreams of each service that are outside evacuated failure domains; nil means all of Services. A
+	// slice in it is replaced, never modified.
+	Open map[ServiceName][]Upstream
 	// Quarantine maps fingerprints of requests that crash upstreams to the end of their quarantine, until which such
 	// requests are refused.
 	Quarantine map[Fingerprint]time.Time
@@ -52,6 +56,19 @@
 	Suspended time.Duration
 }
 
+// IsEvacuated reports whether the upstreams of a failure domain take no new work.
+func (s *Snapshot) IsEvacuated(domain FailureDomain) bool {
+	return s.Evacuated != nil && s.Evacuated.Contains(domain)
+}
+
+// OpenUpstreams returns the upstreams of a service that are outside evacuated failure domains.
+func (s *Snapshot) OpenUpstreams(service ServiceName) []Upstream {
+	if s.Open == nil {
+		return s.Services[service].Upstreams
+	}
+	return s.Open[service]
+}
+
 // Limits are the limits of one customer at one gate. They are derived from the contracts alone.
 type Limits struct {
 	// Guaranteed is the customer's share of the gate's slots, in thousandths of a slot; 0 for Background.
--- a/core/query/check/check.go
+++ b/core/query/check/check.go
@@ -26,6 +26,8 @@
 	MarkPrefix     = "marks/"
 	InstancePrefix = "instances/"
 	DocumentKey    = "document"
+
+	EvacuationPrefix = "evacuations/"
 )
 
 // The bounds of published values.
@@ -38,6 +40,8 @@
 	maxLongestMs   = 24 * 3600 * 1000
 	maxSlots       = 1000
 	maxConnections = 100_000
+	maxWarmupPerS  = 1_000_000
+	maxWarmupMs    = 3600 * 1000
 	// minShedStatus and maxShedStatus bound the HTTP status with which an upstream refuses a request.
 	minShedStatus = 400
 	maxShedStatus = 599
@@ -74,6 +78,15 @@
 	})
 }
 
+// Evacuation decodes and checks the value of "evacuations/DOMAIN", which is {}.
+func Evacuation(domain model.FailureDomain, raw []byte) (model.Evacuation, *strict.Fault) {
+	key := EvacuationPrefix + string(domain)
+	if broken := nameRule("", string(domain)); broken.allowed != "" {
+		return model.Evacuation{}, &strict.Fault{File: key, Line: 1, Found: broken.found, Allowed: broken.allowed}
+	}
+	return decode(key, raw, func(*model.Evacuation) violation { return violation{} })
+}
+
 // Value checks the value of any key, as cftctl does offline.
 func Value(key string, raw []byte) *strict.Fault {
 	var fault *strict.Fault
@@ -86,6 +99,8 @@
 		_, fault = Mark(model.UpstreamName(strings.TrimPrefix(key, MarkPrefix)), raw)
 	case strings.HasPrefix(key, InstancePrefix):
 		_, fault = Instance(model.InstanceID(strings.TrimPrefix(key, InstancePrefix)), raw)
+	case strings.HasPrefix(key, EvacuationPrefix):
+		_, fault = Evacuation(model.FailureDomain(strings.TrimPrefix(key, EvacuationPrefix)), raw)
 	case key == DocumentKey:
 		_, fault = Document(key, raw)
 	default:
@@ -96,7 +111,7 @@
 
 // UnknownKey returns the fault of a key that no part of the system reads.
 func UnknownKey(key string) *strict.Fault {
-	return &strict.Fault{File: key, Line: 1, Found: "an unknown kind of key", Allowed: "contracts/CUSTOMER, services/NAME, marks/UPSTREAM, instances/ID, document"}
+	return &strict.Fault{File: key, Line: 1, Found: "an unknown kind of key", Allowed: "contracts/CUSTOMER, services/NAME, marks/UPSTREAM, instances/ID, evacuations/DOMAIN, document"}
 }
 
 // decode decodes raw strictly and then applies the rules, which return the first violation.
@@ -135,6 +150,7 @@
 		rangeRule("slots", s.Slots, 1, maxSlots),
 		rangeRule("connections", s.Connections, s.Slots, maxConnections),
 		shedRule(s.ShedStatus),
+		warmupRule("", s.WarmupPerS, s.WarmupMs),
 	}
 	for i, route := range s.Routes {
 		field := fmt.Sprintf("routes.%d.path_prefix", i)
@@ -180,6 +196,14 @@
 	)
 }
 
+// warmupRule checks the limits of cold upstreams.
+func warmupRule(prefix string, perS float64, ms int) violation {
+	return firstViolation(
+		require(0 <= perS && perS <= maxWarmupPerS, prefix+"warmup_per_s", fmt.Sprint(perS), fmt.Sprintf("from 0 to %d", maxWarmupPerS)),
+		rangeRule(prefix+"warmup_ms", ms, 0, maxWarmupMs),
+	)
+}
+
 // nameRule formats its texts only for an invalid name, since a document has thousands of valid ones.
 func nameRule(field, name string) violation {
 	if name != "" && len(name) <= maxNameBytes {
--- a/core/query/check/check_test.go
+++ b/core/query/check/check_test.go
@@ -34,7 +34,7 @@
 		{"a status of its own for shedding", "services/s", `{"name":"s","slots":1,"connections":1,"shed_status":529,"upstreams":[]}`, ""},
 		{"a good mark", "marks/s-1", `{"incarnation":7,"state":"leaving"}`, ""},
 		{"mark without incarnation", "marks/s-1", `{"state":"joining"}`, "marks/s-1:1: incarnation: found 0; allowed: at least 1"},
-		{"unknown kind", "tenants/a", `{}`, "tenants/a:1: found an unknown kind of key; allowed: contracts/CUSTOMER, services/NAME, marks/UPSTREAM, instances/ID, document"},
+		{"unknown kind", "tenants/a", `{}`, "tenants/a:1: found an unknown kind of key; allowed: contracts/CUSTOMER, services/NAME, marks/UPSTREAM, instances/ID, evacuations/DOMAIN, document"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/query/check/document.go
+++ b/core/query/check/document.go
@@ -54,6 +54,7 @@
 			require(!services[service.Name], prefix+"name", fmt.Sprintf("%q twice", service.Name), "each name once"),
 			rangeRule(prefix+"connections", service.Connections, 1, maxConnections),
 			require(strings.HasPrefix(service.HealthPath, "/"), prefix+"health_path", strconv.Quote(service.HealthPath), "a path that starts with a slash"),
+			warmupRule(prefix, service.WarmupPerS, service.WarmupMs),
 		)
 		services[service.Name] = true
 	}
--- a/core/query/diff/diff.go
+++ b/core/query/diff/diff.go
@@ -5,8 +5,11 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
+	mapset "github.com/deckarep/golang-set/v2"
+
 	"comfreytack/core/model"
 )
 
@@ -30,6 +33,9 @@
 	UpstreamJoined  // upstream_joined
 	UpstreamLeaving // upstream_leaving
 	UpstreamGone    // upstream_gone
+	// DomainEvacuated means that the upstreams of a failure domain take no new work, and DomainRestored that they do again.
+	DomainEvacuated // domain_evacuated
+	DomainRestored  // domain_restored
 )
 
 // Change is one thing that changed.
@@ -37,6 +43,8 @@
 	Kind Kind
 	// Upstream is the subject of the kinds that are about one upstream; empty for the others.
 	Upstream model.Upstream
+	// FailureDomain is the subject of DomainEvacuated and DomainRestored; empty for the other kinds.
+	FailureDomain model.FailureDomain
 }
 
 // Between returns the changes from before to after; those of upstreams are sorted by name.
@@ -56,12 +64,40 @@
 			changes = append(changes, Change{Kind: flag.kind})
 		}
 	}
+	changes = append(changes, domainChanges(before, after)...)
 	if sameUpstreams(before, after) {
 		return changes
 	}
 	return append(changes, upstreamChanges(before, after)...)
 }
 
+// domainChanges returns which failure domains were evacuated or restored, sorted by name.
+func domainChanges(before, after *model.Snapshot) []Change {
+	if before.Evacuated == nil && after.Evacuated == nil {
+		return nil
+	}
+	var changes []Change
+	for domain := range domainsOf(after) {
+		if !before.IsEvacuated(domain) {
+			changes = append(changes, Change{Kind: DomainEvacuated, FailureDomain: domain})
+		}
+	}
+	for domain := range domainsOf(before) {
+		if !after.IsEvacuated(domain) {
+			changes = append(changes, Change{Kind: DomainRestored, FailureDomain: domain})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.FailureDomain, b.FailureDomain) })
+	return changes
+}
+
+func domainsOf(snapshot *model.Snapshot) iter.Seq[model.FailureDomain] {
+	if snapshot.Evacuated == nil {
+		return func(func(model.FailureDomain) bool) {}
+	}
+	return mapset.Elements(snapshot.Evacuated)
+}
+
 // sameUpstreams reports whether both snapshots list the same upstreams. It compares revisions first: every change
 // of the list has a new revision, except for expired entries, which change the number of upstreams.
 func sameUpstreams(before, after *model.Snapshot) bool {
--- a/core/query/diff/diff_test.go
+++ b/core/query/diff/diff_test.go
@@ -24,6 +24,9 @@
 		change(&snapshot)
 		return snapshot
 	}
+	evacuate := func(domains ...model.FailureDomain) func(*model.Snapshot) {
+		return func(s *model.Snapshot) { s.Evacuated = mapset.NewThreadUnsafeSet(domains...) }
+	}
 	tests := []struct {
 		name          string
 		before, after model.Snapshot
@@ -40,6 +43,9 @@
 		{name: "suspect", before: view(1, nil), after: with(view(1, nil), func(s *model.Snapshot) { s.Suspect = true }), want: []diff.Change{{Kind: diff.Suspect}}},
 		{name: "trusted", before: with(view(1, nil), func(s *model.Snapshot) { s.Suspect = true }), after: view(1, nil), want: []diff.Change{{Kind: diff.Trusted}}},
 		{name: "stopping", before: view(1, nil), after: with(view(1, nil), func(s *model.Snapshot) { s.Stopping = true }), want: []diff.Change{{Kind: diff.Stopping}}},
+		{name: "a domain is evacuated", before: view(1, nil), after: with(view(2, nil), evacuate("sur", "norte")), want: []diff.Change{{Kind: diff.DomainEvacuated, FailureDomain: "norte"}, {Kind: diff.DomainEvacuated, FailureDomain: "sur"}}},
+		{name: "one of two is taken back", before: with(view(1, nil), evacuate("sur", "norte")), after: with(view(2, nil), evacuate("norte")), want: []diff.Change{{Kind: diff.DomainRestored, FailureDomain: "sur"}}},
+		{name: "the last is taken back", before: with(view(1, nil), evacuate("norte")), after: view(2, nil), want: []diff.Change{{Kind: diff.DomainRestored, FailureDomain: "norte"}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/query/diff/enums_string.go
+++ b/core/query/diff/enums_string.go
@@ -16,11 +16,13 @@
 	_ = x[UpstreamJoined-5]
 	_ = x[UpstreamLeaving-6]
 	_ = x[UpstreamGone-7]
+	_ = x[DomainEvacuated-8]
+	_ = x[DomainRestored-9]
 }
 
-const _Kind_name = "document_in_forcereadysuspecttrustedstoppingupstream_joinedupstream_leavingupstream_gone"
+const _Kind_name = "document_in_forcereadysuspecttrustedstoppingupstream_joinedupstream_leavingupstream_gonedomain_evacuateddomain_restored"
 
-var _Kind_index = [...]uint8{0, 17, 22, 29, 36, 44, 59, 75, 88}
+var _Kind_index = [...]uint8{0, 17, 22, 29, 36, 44, 59, 75, 88, 104, 119}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/core/query/retry/retry.go
+++ b/core/query/retry/retry.go
@@ -105,7 +105,8 @@
 func Reached(reason model.Reason) bool {
 	switch reason {
 	case model.QueueFull, model.TooLate, model.SlotsShort, model.UpstreamLeaving, model.UpstreamReplaced, model.UpstreamSlow, model.NearlyFull,
-		model.DaemonPaused, model.NotReady, model.Stopping, model.Quarantined, model.UpstreamDown, model.NoContract:
+		model.DaemonPaused, model.NotReady, model.Stopping, model.Quarantined, model.UpstreamDown, model.NoContract,
+		model.DomainEvacuated, model.UpstreamCold:
 		return false
 	default:
 		return true
--- a/core/query/status/status.go
+++ b/core/query/status/status.go
@@ -28,6 +28,8 @@
 	Services []ServiceView `json:"services"`
 	// Leaving lists the upstreams that take no new work, sorted by name.
 	Leaving []model.UpstreamName `json:"leaving"`
+	// Evacuated lists the failure domains whose upstreams take no new work, sorted by name.
+	Evacuated []model.FailureDomain `json:"evacuated,omitempty"`
 	// Refusals lists the published values that are not in force, sorted by key.
 	Refusals []model.Refusal `json:"refusals"`
 	// Quarantined counts the quarantined fingerprints.
@@ -64,6 +66,10 @@
 	}
 	slices.SortFunc(view.Services, func(a, b ServiceView) int { return cmp.Compare(a.Name, b.Name) })
 	slices.Sort(view.Leaving)
+	if snapshot.Evacuated != nil {
+		view.Evacuated = snapshot.Evacuated.ToSlice()
+		slices.Sort(view.Evacuated)
+	}
 	slices.SortFunc(view.Refusals, func(a, b model.Refusal) int { return cmp.Compare(a.Key, b.Key) })
 	return view
 }
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -67,7 +67,7 @@
 	for {
 		upstream, found := s.choose(&progress, &call)
 		if !found {
-			return zero, last
+			return zero, s.noneLeft(&progress, &call, last)
 		}
 		answer, failure := attempt(ctx, s, call, upstream, attempter)
 		if failure == nil {
@@ -78,6 +78,11 @@
 			progress.overloaded = append(progress.overloaded, upstream.Name)
 			continue
 		}
+		if canResend && progress.tryElsewhere(upstream, failure.Reason) {
+			call.Forced = false
+			last = retry.Final(failure)
+			continue
+		}
 		call.Suspect = call.Suspect || retry.MayHaveCrashed(failure.Reason)
 		state = afterFailure(state, failure, progress.remaining(canResend))
 		if decision := s.decideRetry(state, call, failure); decision.Action == retry.GiveUp {
@@ -96,6 +101,12 @@
 	// overloaded has the upstreams that refused the call because they are overloaded; one of them is forced to take it
 	// if no other upstream does.
 	overloaded []model.UpstreamName
+	// evacuated has the failure domains whose gates refused the call because they are evacuated.
+	evacuated []model.FailureDomain
+	// coldRefusals counts the cold upstreams that refused the call, and coldWait is how long until a cold upstream that
+	// was left out takes a request; zero when none was.
+	coldRefusals int
+	coldWait     time.Duration
 	// others is the number of untried upstreams besides the one chosen last.
 	others int
 }
@@ -113,11 +124,12 @@
 	scratch := s.scratch.Get().(*[]route.Candidate)
 	defer s.scratch.Put(scratch)
 	now := s.settings.Now()
-	all := s.candidates(now, call.Service, *scratch)
+	all := route.Outside(s.candidates(now, call.Service, *scratch), p.evacuated)
 	*scratch = all
 	// Copies the overloaded candidates first, because the calls below modify the slice in place.
 	overloaded := route.Only(all, p.overloaded)
-	untried := route.Without(all, p.tried)
+	untried, coldWait := route.WithoutFullCold(now, route.Without(all, p.tried))
+	p.coldWait = coldWait
 	if call.Forced {
 		// The least overloaded one has refused the forced call; the other overloaded ones would too.
 		untried = route.WithoutOverloaded(now, untried)
@@ -143,7 +155,7 @@
 // candidates returns the upstreams of a service that accept new work, reusing the given slice.
 func (s *Sender[P]) candidates(now time.Time, service model.ServiceName, into []route.Candidate) []route.Candidate {
 	snapshot := s.settings.Snapshot()
-	all := s.settings.Tracker.Candidates(now, service, snapshot.Services[service].Upstreams, into)
+	all := s.settings.Tracker.Candidates(now, service, snapshot.OpenUpstreams(service), into)
 	return slices.DeleteFunc(all, func(c route.Candidate) bool {
 		return snapshot.Leaving.Contains(c.Upstream.Name)
 	})
--- a/core/wire/call_test.go
+++ b/core/wire/call_test.go
@@ -71,8 +71,9 @@
 		{name: "zero", report: model.GateReport{}},
 		{name: "all", report: model.GateReport{
 			Upstream: "reservas,2", Incarnation: 1777000000000, InFlight: 9, Queued: 3, Slots: 9, WaitUs: 1500, ServiceUs: 190000,
-			PacePercent: 400, Leaving: true, Revision: 77,
+			PacePercent: 400, Leaving: true, Revision: 77, ColdMs: 2900, ColdRoom: 3, ColdWaitMs: 0,
 		}},
+		{name: "cold without room", report: model.GateReport{ColdMs: 2900, ColdWaitMs: 120}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -22,6 +22,8 @@
 	HeaderVerdict        = "Comfreytack-Verdict"
 	HeaderReason         = "Comfreytack-Reason"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderWarmupMs is how much longer an upstream is cold, in ms, in its answers at its health path.
+	HeaderWarmupMs = "Comfreytack-Warmup-Ms"
 )
 
 // The headers between daemons. They are removed from what callers and upstreams send.
@@ -29,6 +31,8 @@
 	HeaderKey    = "Comfreytack-Key"
 	HeaderCall   = "Comfreytack-Call"
 	HeaderReport = "Comfreytack-Report"
+	// HeaderCold has what a gate reports of a cold upstream.
+	HeaderCold = "Comfreytack-Cold"
 	// HeaderNoRetry marks a failure as final for retries.
 	HeaderNoRetry = "Comfreytack-Spent"
 	// HeaderProbe marks a probe: a request for the gate's load report alone.
@@ -106,6 +110,16 @@
 	return readMilliseconds(header, HeaderDeadlineMs)
 }
 
+// ReadWarmup returns how much longer an upstream is cold; zero when its answer does not say so.
+func ReadWarmup(header http.Header) time.Duration {
+	left, err := readMilliseconds(header, HeaderWarmupMs)
+	if err != nil {
+		// An answer that cannot be read says nothing; the upstream's entry still counts.
+		return 0
+	}
+	return left
+}
+
 func readMilliseconds(header http.Header, name string) (time.Duration, error) {
 	text := header.Get(name)
 	if text == "" {
--- a/core/wire/report.go
+++ b/core/wire/report.go
@@ -11,6 +11,7 @@
 const (
 	reportSeparator = ","
 	reportFields    = 10
+	coldFields      = 3
 	// reportBase is the base of the numbers; a large one makes them short.
 	reportBase = 36
 )
@@ -31,6 +32,42 @@
 		fields = append(fields, strconv.FormatUint(number, reportBase))
 	}
 	header.Set(HeaderReport, strings.Join(fields, reportSeparator))
+	setCold(header, report)
+}
+
+// setCold encodes what the report says of a cold upstream, in a header of its own, since few answers carry it.
+//
+//	{cold for 2000 ms, room 0, the next request fits in 120 ms} -> "1jk,0,3c"
+func setCold(header http.Header, report model.GateReport) {
+	header.Del(HeaderCold)
+	if report.ColdMs == 0 {
+		return
+	}
+	fields := make([]string, 0, coldFields)
+	for _, number := range []int{report.ColdMs, report.ColdRoom, report.ColdWaitMs} {
+		fields = append(fields, strconv.FormatUint(uint64(number), reportBase))
+	}
+	header.Set(HeaderCold, strings.Join(fields, reportSeparator))
+}
+
+// readCold adds to a report what setCold encoded. A header that cannot be read says nothing: the gate refuses what does
+// not fit.
+func readCold(header http.Header, report *model.GateReport) {
+	fields := strings.Split(header.Get(HeaderCold), reportSeparator)
+	if len(fields) != coldFields {
+		return
+	}
+	var numbers [coldFields]int
+	for i, text := range fields {
+		number, err := strconv.ParseUint(text, reportBase, 31)
+		if err != nil {
+			return
+		}
+		numbers[i] = int(number)
+	}
+	if numbers[0] > 0 {
+		report.ColdMs, report.ColdRoom, report.ColdWaitMs = numbers[0], numbers[1], numbers[2]
+	}
 }
 
 // ReadReport decodes a gate's report, or returns false when there is no valid one.
@@ -49,7 +86,7 @@
 		}
 		numbers[i] = number
 	}
-	return model.GateReport{
+	report := model.GateReport{
 		Upstream:    model.UpstreamName(strings.Join(fields[:firstNumber], reportSeparator)),
 		Incarnation: model.Incarnation(numbers[0]),
 		InFlight:    int(numbers[1]),
@@ -60,5 +97,7 @@
 		PacePercent: int(numbers[6]),
 		Leaving:     numbers[7] == 1,
 		Revision:    model.Revision(numbers[8]),
-	}, true
+	}
+	readCold(header, &report)
+	return report, true
 }
