Evacuate failure domains, and limit what a cold upstream gets

Change: the key evacuations/DOMAIN is checked, kept and sent on like every other; platform/store makes it of op/evacuate/ZONE.

what waits is refused at once, entries leave the domain out and try no second upstream of it. core/command/warm counts the sends of a gate since the last reading that showed its upstream warm, so that no second has more than a quarter above the tolerated rate from the first moment of the cold; gates report the room, entries leave out what is full. Lines, metrics, /status and cftctl status show both. A published change now keeps an empty object as its value on the way between daemons: omitempty dropped it, so that peers refused the evacuation that the reader had understood. Tests: new ones for each part. Test runs: TestProcessesThatFail failed in two runs on a machine with a load of 27 to 33 ("home paused ... before it sees the request", "entry killed while the request runs"); being compared with the code before.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SECONDS ?= 10
 
 # Names of the users' platform. Only platform/ and deploy/ may know them.
-PLATFORM_NAMES := X-Comfreytack-|kv-range|kv-watch|kv-key|op/config|weightedClusters|routeType|pathPrefix|targetLatencyS|maxConcurrency|heartbeatS|non_idempotent|COMFREYTACK_CONFIG
+PLATFORM_NAMES := X-Comfreytack-|kv-range|kv-watch|kv-key|op/config|weightedClusters|routeType|pathPrefix|targetLatencyS|maxConcurrency|heartbeatS|non_idempotent|op/evacuate|warmupS|warmupPerS|warmupLeftS|COMFREYTACK_CONFIG
 
 .PHONY: build check demo bench generate
 
--- a/cftctl/verbs/status.go
+++ b/cftctl/verbs/status.go
@@ -88,7 +88,7 @@
 		}
 		s := r.Status
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n", r.Address, s.Self.Name, s.Self.Service, s.Self.FailureDomain,
-			s.Revision, s.Gate.InFlight, s.Gate.Queued, s.Gate.Slots, s.Why)
+			s.Revision, s.Gate.InFlight, s.Gate.Queued, s.Gate.Slots, s.State())
 	}
 	return errors.Wrap(table.Flush(), "print")
 }
--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -13,6 +13,7 @@
 	"comfreytack/cftd/relay"
 	"comfreytack/cftd/talk"
 	"comfreytack/core/command/uplink"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/model"
 	"comfreytack/core/query/pace"
 	"comfreytack/core/traffic/flight"
@@ -39,6 +40,8 @@
 	Meter *meter.Meter
 	// Pace reports how long work takes on the upstream's machine now.
 	Pace *health.Pace
+	// Warmth limits the requests to the upstream while it is cold.
+	Warmth *warm.Limiter
 	// Flight tracks the requests that run on the upstream.
 	Flight *flight.Tracker
 	// Work counts the calls that wait or run here.
@@ -130,6 +133,9 @@
 	if failure == nil {
 		failure = g.waitOutSlowdown(ctx, call, slot)
 	}
+	if failure == nil {
+		g.readWarmth(ctx)
+	}
 	if failure != nil {
 		run.End(failure)
 		return nil, hold.Slot{}, failure
@@ -163,6 +169,20 @@
 	}
 }
 
+// maxWarmthReads is enough for a reading that is asked for after the call has got its slot: the first may join one that
+// was asked for before.
+const maxWarmthReads = 2
+
+// readWarmth asks the upstream whether it is cold, if the decision on the next send needs to know.
+func (g *Gate[H, D]) readWarmth(ctx context.Context) {
+	for range maxWarmthReads {
+		if !g.settings.Warmth.Unsure(g.settings.Now()) {
+			return
+		}
+		g.settings.Pace.Refresh(ctx)
+	}
+}
+
 // roundTrip sends the request to the upstream, checks its answer and records the pace that the answer reports.
 func (g *Gate[H, D]) roundTrip(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	request.Address = g.settings.Upstream
--- a/cftd/gate/gate_test.go
+++ b/cftd/gate/gate_test.go
@@ -25,15 +25,18 @@
 	"comfreytack/core/command/admit"
 	"comfreytack/core/command/class"
 	"comfreytack/core/command/poison"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/model"
 	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/traffic/idle"
 	"comfreytack/core/traffic/learn"
+	"comfreytack/core/wire"
 )
 
 const (
 	self        = model.UpstreamName("reservas-1")
+	domain      = model.FailureDomain("quito-sur")
 	paceHeader  = "X-Pace"
 	healthPath  = "/health"
 	callTimeout = time.Minute
@@ -50,18 +53,27 @@
 	gate     *gate.Gate[*hold.Gate[*admit.Ranked, adapt.Fixed], talk.Native]
 	snapshot atomic.Pointer[model.Snapshot]
 	percent  atomic.Int64
+	// warmupMs is how much longer the upstream says that it is cold.
+	warmupMs atomic.Int64
 	// polls counts the queries of the pace, and received the other requests that the upstream got.
 	polls, received atomic.Int64
 	// answer lets one request be answered that the upstream holds; requests for "/" are answered at once.
 	answer chan struct{}
+	warmth *warm.Limiter
 }
 
 func newFixture(t *testing.T, connections int) *fixture {
 	t.Helper()
-	f := &fixture{answer: make(chan struct{})}
+	return newFixtureStartedAt(t, connections, time.Now())
+}
+
+// newFixtureStartedAt returns a fixture whose gate does not know what was sent to the upstream until the given time.
+func newFixtureStartedAt(t *testing.T, connections int, startedAt time.Time) *fixture {
+	t.Helper()
+	f := &fixture{answer: make(chan struct{}), warmth: warm.New(startedAt)}
 	f.percent.Store(100)
 	f.snapshot.Store(&model.Snapshot{
-		Self:        model.Upstream{Name: self, Service: "reservas", Instance: "i-1"},
+		Self:        model.Upstream{Name: self, Service: "reservas", Instance: "i-1", FailureDomain: domain},
 		Revision:    1,
 		Slots:       2,
 		Services:    map[model.ServiceName]model.Service{"reservas": {Name: "reservas", Slots: 2}},
@@ -82,7 +94,9 @@
 			percent, _ := strconv.Atoi(header.Get(paceHeader))
 			return percent
 		},
-		Now: time.Now,
+		Now:        time.Now,
+		WarmupLeft: talk.Native{}.WarmupLeft,
+		Warmth:     f.warmth,
 	})
 	pace.Observe(100)
 	transport := relay.NewTransport(connections, time.Minute)
@@ -96,6 +110,7 @@
 		Log:       slog.New(slog.DiscardHandler),
 		Meter:     meter.New(),
 		Pace:      pace,
+		Warmth:    f.warmth,
 		Work:      &idle.Counter{},
 		Flight: flight.New(flight.Settings{
 			Detector:        poison.New(poison.DefaultSettings()),
@@ -108,6 +123,7 @@
 		Now:         time.Now,
 		Suspended:   func() time.Duration { return 0 },
 		UsableShare: 1,
+		Warmth:      f.warmth,
 		Classifier:  learn.New(view, class.New(16)),
 	}, admit.New(2, admit.NewRanked(time.Now)), adapt.New(2, 2, adapt.Fixed{})))
 	return f
@@ -117,6 +133,7 @@
 	if r.URL.Path == healthPath {
 		f.polls.Add(1)
 		w.Header().Set(paceHeader, strconv.FormatInt(f.percent.Load(), 10))
+		w.Header().Set(wire.HeaderWarmupMs, strconv.FormatInt(f.warmupMs.Load(), 10))
 		return
 	}
 	f.received.Add(1)
@@ -157,6 +174,7 @@
 	next.Leaving = next.Leaving.Clone()
 	change(&next)
 	f.snapshot.Store(&next)
+	f.warmth.Listed(time.Now(), next.Self, next.Services[next.Self.Service])
 }
 
 // changes of the control state after which nothing may be sent.
@@ -167,6 +185,7 @@
 }{
 	{name: "the upstream leaves", change: func(s *model.Snapshot) { s.Leaving.Add(self) }, want: model.UpstreamLeaving},
 	{name: "the upstream is replaced", change: func(s *model.Snapshot) { s.Self.Instance = "i-2" }, want: model.UpstreamReplaced},
+	{name: "the failure domain is evacuated", change: func(s *model.Snapshot) { s.Evacuated = mapset.NewThreadUnsafeSet(domain) }, want: model.DomainEvacuated},
 	{name: "the daemon was paused", change: func(s *model.Snapshot) { s.Suspect = true }, want: model.DaemonPaused},
 	{name: "the daemon stops", change: func(s *model.Snapshot) { s.Stopping = true }, want: model.Stopping},
 }
@@ -220,6 +239,41 @@
 	}
 }
 
+// TestColdUpstream checks that a gate which has just started asks whether its upstream is cold before it sends anything,
+// where the service sets a limit for cold upstreams.
+func TestColdUpstream(t *testing.T) {
+	const calls = 6
+	tests := []struct {
+		name     string
+		perS     float64
+		warmupMs int64
+		want     model.Reason
+		received int64
+	}{
+		{name: "warm", perS: 2, received: calls},
+		{name: "cold", perS: 2, warmupMs: 60_000, want: model.UpstreamCold},
+		{name: "cold, and the service sets no limit", warmupMs: 60_000, received: calls},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			startedAt := time.Now()
+			if test.want != model.NoReason {
+				// Whatever the machine's speed, the second before counts as used up.
+				startedAt = startedAt.Add(callTimeout)
+			}
+			f := newFixtureStartedAt(t, 1, startedAt)
+			f.warmupMs.Store(test.warmupMs)
+			f.publish(func(s *model.Snapshot) {
+				s.Services = map[model.ServiceName]model.Service{"reservas": {Name: "reservas", Slots: 2, WarmupPerS: test.perS}}
+			})
+			for range calls {
+				qt.Assert(t, f.run(t.Context(), "/"), qt.Equals, test.want)
+			}
+			qt.Assert(t, f.received.Load(), qt.Equals, test.received)
+		})
+	}
+}
+
 // waitUntil waits for a condition that holds sooner or later.
 func waitUntil(condition func() bool) {
 	for !condition() {
--- a/cftd/health/pace_test.go
+++ b/cftd/health/pace_test.go
@@ -14,7 +14,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"comfreytack/cftd/health"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/model"
+	"comfreytack/core/wire"
 )
 
 const paceHeader = "X-Pace"
@@ -25,14 +27,18 @@
 	now     time.Time
 	percent atomic.Int64
 	queries atomic.Int64
-	path    string
+	// warmupMs is how much longer the upstream says that it is cold.
+	warmupMs atomic.Int64
+	path     string
+	warmth   *warm.Limiter
 }
 
 func newPaceFixture(t *testing.T) *paceFixture {
 	t.Helper()
-	p := &paceFixture{now: time.Unix(1000, 0), path: "/health"}
+	p := &paceFixture{now: time.Unix(1000, 0), path: "/health", warmth: warm.New(time.Unix(990, 0))}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		p.queries.Add(1)
+		w.Header().Set(wire.HeaderWarmupMs, strconv.FormatInt(p.warmupMs.Load(), 10))
 		if percent := p.percent.Load(); percent > 0 {
 			w.Header().Set(paceHeader, strconv.FormatInt(percent, 10))
 		}
@@ -47,7 +53,9 @@
 			percent, _ := strconv.Atoi(header.Get(paceHeader))
 			return percent
 		},
-		Now: func() time.Time { return p.now },
+		Now:        func() time.Time { return p.now },
+		WarmupLeft: wire.ReadWarmup,
+		Warmth:     p.warmth,
 	})
 	return p
 }
@@ -100,3 +108,35 @@
 	readers.Wait()
 	qt.Assert(t, p.queries.Load(), qt.Equals, int64(1))
 }
+
+// TestWarmthIsRead checks that each query reads how much longer the upstream is cold, also while its pace is known from
+// other answers.
+func TestWarmthIsRead(t *testing.T) {
+	tests := []struct {
+		name     string
+		perS     float64
+		warmupMs int64
+		want     warm.State
+		// queried says that the upstream is queried although its pace is known.
+		queried bool
+	}{
+		{name: "cold", perS: 2, warmupMs: 3000, want: warm.State{Left: 3 * time.Second, Room: 1}, queried: true},
+		{name: "warm", perS: 2, queried: true},
+		{name: "the service sets no limit", warmupMs: 3000},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPaceFixture(t)
+			p.warmupMs.Store(test.warmupMs)
+			p.warmth.Listed(p.now, model.Upstream{Name: "reservas-1"}, model.Service{WarmupPerS: test.perS})
+			p.pace.Observe(100)
+			p.warmth.Begin(p.now)
+			p.pace.Read(context.Background())
+			if test.queried {
+				p.pace.Refresh(context.Background())
+			}
+			qt.Assert(t, p.warmth.State(p.now), qt.Equals, test.want)
+			qt.Assert(t, p.queries.Load() > 0, qt.Equals, test.queried)
+		})
+	}
+}
--- a/cftd/meter/meter.go
+++ b/cftd/meter/meter.go
@@ -94,6 +94,11 @@
 	m.Registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(read()) }))
 }
 
+// WatchLevel registers a gauge whose value is read by the function whenever metrics are gathered.
+func (m *Meter) WatchLevel(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
 // Wait records how long a request waited at the gate.
 func (m *Meter) Wait(call model.Call, waited time.Duration) {
 	m.Waits.WithLabelValues(string(call.Customer), call.Class.String()).Observe(waited.Seconds())
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -31,6 +31,7 @@
 	"comfreytack/core/command/prior"
 	"comfreytack/core/command/probe"
 	"comfreytack/core/command/uplink"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/query/route"
@@ -96,6 +97,8 @@
 	probeBudget   *probe.Budget
 	// uplink shares the machine's link among the answers of the gate.
 	uplink *uplink.Link
+	// warmth limits the requests to the upstream while it is cold.
+	warmth *warm.Limiter
 	// stopper stops the daemon.
 	stopper *stopper
 }
@@ -120,6 +123,7 @@
 		loads:         load.New(self, load.DefaultSettings()),
 		probeBudget:   probe.New(time.Now(), probe.DefaultSettings()),
 		uplink:        uplink.New(settings.Limits.BandwidthMbps),
+		warmth:        warm.New(time.Now()),
 		stopper:       stopper,
 	}
 	plane.registerMetrics(deps.meter)
@@ -164,6 +168,17 @@
 }
 
 func buildGate[Q admit.Discipline, L adapt.Policy, D talk.Dialect](deps dependencies[D], discipline Q, limiter L) (*parts, error) {
+	holder := hold.New(hold.Settings{
+		Snapshot:    deps.control.Snapshot,
+		Now:         time.Now,
+		Suspended:   deps.suspended,
+		UsableShare: deps.front.UsableShare,
+		Warmth:      deps.warmth,
+		Classifier:  learn.New(deps.control.Snapshot, class.New(maxLearntRoutes)),
+	}, admit.New(initialSlots, discipline), adapt.New(1, initialSlots, limiter))
+	watch := &upstreamWatch{warmth: deps.warmth, refuseWaiting: holder.RefuseWaiting, now: time.Now, log: deps.log}
+	deps.plane.watchers = append(deps.plane.watchers, watch.changed)
+	watch.registerMetrics(deps.meter, deps.control.Snapshot)
 	localGate := gate.New(gate.Settings[D]{
 		Dialect:   deps.front.Dialect,
 		Upstream:  deps.settings.Upstream,
@@ -173,6 +188,7 @@
 		Log:       deps.log,
 		Meter:     deps.meter,
 		Pace:      newPace(deps),
+		Warmth:    deps.warmth,
 		Work:      &deps.stopper.work,
 		Uplink:    deps.uplink,
 		Flight: flight.New(flight.Settings{
@@ -184,13 +200,7 @@
 
 			RecheckDelay: downRecheckInterval,
 		}),
-	}, hold.New(hold.Settings{
-		Snapshot:    deps.control.Snapshot,
-		Now:         time.Now,
-		Suspended:   deps.suspended,
-		UsableShare: deps.front.UsableShare,
-		Classifier:  learn.New(deps.control.Snapshot, class.New(maxLearntRoutes)),
-	}, admit.New(initialSlots, discipline), adapt.New(1, initialSlots, limiter)))
+	}, holder)
 	sendCall, err := buildSend(deps)
 	if err != nil {
 		return nil, err
@@ -236,6 +246,9 @@
 		Timeout:  health.PaceTimeout,
 		Percent:  deps.front.Dialect.PacePercent,
 		Now:      time.Now,
+
+		WarmupLeft: deps.front.Dialect.WarmupLeft,
+		Warmth:     deps.warmth,
 	})
 }
 
--- a/cftd/start/control.go
+++ b/cftd/start/control.go
@@ -34,12 +34,14 @@
 	probe   *health.Probe
 	log     *slog.Logger
 	ctx     context.Context
+	// watchers are called by the control goroutine after each new snapshot; they do not block. They are complete before run.
+	watchers []func(before, after *model.Snapshot)
 }
 
 func newControlPlane[D talk.Dialect](
 	front Front[D], settings setup.Settings, self model.Upstream, detector *poison.Detector, suspended func() time.Duration, log *slog.Logger,
 ) *controlPlane {
-	c := &controlPlane{log: log}
+	c := &controlPlane{log: log, watchers: []func(before, after *model.Snapshot){logChanges(log)}}
 	state := daemon.New(daemon.Settings{
 		Self:   self,
 		Seeds:  settings.Seeds,
@@ -49,7 +51,7 @@
 
 		Leased: front.Leased,
 	}, time.Now())
-	c.loop = loop.New(loop.Settings{TickInterval: tickInterval, Backlog: eventBacklog, Now: time.Now, Suspended: suspended, Changed: logChanges(log), Panicked: c.logPanic}, state, c.perform)
+	c.loop = loop.New(loop.Settings{TickInterval: tickInterval, Backlog: eventBacklog, Now: time.Now, Suspended: suspended, Changed: c.changed, Panicked: c.logPanic}, state, c.perform)
 	c.network = peers.New(peers.Settings{Post: c.loop.Post, Log: log})
 	c.reads = front.PlatformReader(ReaderSettings{Settings: settings, Post: c.loop.Post, Log: log})
 	if front.ProbeUpstream {
@@ -93,6 +95,13 @@
 	return running.Wait()
 }
 
+// changed tells the watchers of a new snapshot.
+func (c *controlPlane) changed(before, after *model.Snapshot) {
+	for _, watch := range c.watchers {
+		watch(before, after)
+	}
+}
+
 // perform starts an effect that the control state has requested. It does not block.
 func (c *controlPlane) perform(effect daemon.Effect) {
 	switch e := effect.(type) {
--- a/cftlab/stub/queries.go
+++ b/cftlab/stub/queries.go
@@ -52,6 +52,11 @@
 	return Health{Draining: switches.Draining, InFlight: inFlight, Slots: u.settings.Slots}
 }
 
+// ColdLeft returns how much longer the upstream is cold.
+func (u *Upstream) ColdLeft() time.Duration {
+	return max(0, u.control.Current().State.ColdUntil.Sub(u.settings.Now()))
+}
+
 // loadBefore returns the load sample of the given age, or the oldest one that is kept.
 func (u *Upstream) loadBefore(age time.Duration) int {
 	u.mutex.Lock()
--- a/cftlab/stub/serve.go
+++ b/cftlab/stub/serve.go
@@ -24,6 +24,8 @@
 	HeaderWorkUs = "Lab-Work-Us"
 	HeaderSize   = "Lab-Size"
 	HeaderCrash  = "Lab-Crash"
+	// HeaderWarmupMs says in answers to probes how much longer the upstream is cold.
+	HeaderWarmupMs = "Comfreytack-Warmup-Ms"
 )
 
 const (
@@ -102,6 +104,7 @@
 	if !ctrl.Pause(r.Context(), u.settings.Probe) {
 		return
 	}
+	w.Header().Set(HeaderWarmupMs, strconv.FormatInt(u.ColdLeft().Milliseconds(), 10))
 	ctrl.WriteJSON(w, u.Health())
 }
 
--- a/core/command/warm/warm.go
+++ b/core/command/warm/warm.go
@@ -156,6 +156,13 @@
 	return l.room(now) <= len(l.sends)/2
 }
 
+// Unsure reports whether Begin would need a reading.
+func (l *Limiter) Unsure(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.sends) > 0 && !now.Before(l.coldUntil) && l.wait(now) > 0
+}
+
 // State describes the limiter now.
 func (l *Limiter) State(now time.Time) State {
 	l.mu.Lock()
--- a/core/model/change.go
+++ b/core/model/change.go
@@ -10,7 +10,7 @@
 	// Revision is the position of the change in the published order; never zero.
 	Revision Revision `json:"revision"`
 	// Value is the JSON as published; empty when Deleted.
-	Value jsontext.Value `json:"value,omitempty"`
+	Value jsontext.Value `json:"value,omitzero"`
 	// Deleted is true when the key no longer has a value.
 	Deleted bool `json:"deleted,omitempty"`
 }
--- a/core/query/final/final.go
+++ b/core/query/final/final.go
@@ -31,6 +31,8 @@
 		return refuse(model.Stopping)
 	case Leaving(snapshot):
 		return refuse(model.UpstreamLeaving)
+	case snapshot.IsEvacuated(snapshot.Self.FailureDomain):
+		return refuse(model.DomainEvacuated)
 	case call.Instance != "" && call.Instance != snapshot.Self.Instance:
 		// The call is meant for another instance than the one beside this daemon.
 		return refuse(model.UpstreamReplaced)
--- a/core/query/final/final_test.go
+++ b/core/query/final/final_test.go
@@ -30,6 +30,19 @@
 			name: "another upstream leaves",
 			act:  func(s *model.Snapshot, _ *model.Call, _ *time.Time, _ *time.Duration) { s.Leaving.Add("reservas-2") },
 		},
+		{
+			name: "its failure domain is evacuated",
+			act: func(s *model.Snapshot, _ *model.Call, _ *time.Time, _ *time.Duration) {
+				s.Evacuated = mapset.NewThreadUnsafeSet[model.FailureDomain]("quito-sur")
+			},
+			want: model.DomainEvacuated,
+		},
+		{
+			name: "another failure domain is evacuated",
+			act: func(s *model.Snapshot, _ *model.Call, _ *time.Time, _ *time.Duration) {
+				s.Evacuated = mapset.NewThreadUnsafeSet[model.FailureDomain]("cumbaya")
+			},
+		},
 		{
 			name: "another instance",
 			act:  func(_ *model.Snapshot, c *model.Call, _ *time.Time, _ *time.Duration) { c.Instance = "i-2" },
@@ -79,7 +92,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			snapshot := model.Snapshot{
-				Self:        model.Upstream{Name: self, Instance: "i-1"},
+				Self:        model.Upstream{Name: self, Instance: "i-1", FailureDomain: "quito-sur"},
 				Leaving:     mapset.NewThreadUnsafeSet[model.UpstreamName](),
 				PublishedAt: published,
 			}
--- a/core/query/status/status.go
+++ b/core/query/status/status.go
@@ -3,8 +3,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"comfreytack/core/model"
 )
@@ -74,6 +76,23 @@
 	return view
 }
 
+// State describes in one line what the daemon and its upstream take: why the daemon is ready or not, whether its failure
+// domain is evacuated, how much longer its upstream is cold, and which other domains are evacuated.
+func (v *View) State() string {
+	parts := []string{v.Why}
+	for _, domain := range v.Evacuated {
+		if domain == v.Self.FailureDomain {
+			parts = append(parts, "evacuated")
+		} else {
+			parts = append(parts, "evacuated: "+string(domain))
+		}
+	}
+	if v.Gate.ColdMs > 0 {
+		parts = append(parts, fmt.Sprintf("cold for %d ms, room for %d", v.Gate.ColdMs, v.Gate.ColdRoom))
+	}
+	return strings.Join(parts, "; ")
+}
+
 // Ready reports whether the daemon accepts calls, and why or why not.
 func Ready(snapshot *model.Snapshot) (bool, string) {
 	switch {
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -10,6 +10,7 @@
 
 	"comfreytack/core/command/adapt"
 	"comfreytack/core/command/admit"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/model"
 	"comfreytack/core/query/final"
 	"comfreytack/core/traffic/learn"
@@ -26,6 +27,8 @@
 	// UsableShare is the share of the published slots that the gate uses: many upstreams have a lower throughput when
 	// nearly all their slots are in use. Above 0 and at most 1.
 	UsableShare float64
+	// Warmth limits the requests to the upstream while it is cold.
+	Warmth *warm.Limiter
 	// Classifier learns which routes without a configured class are long.
 	Classifier *learn.Classifier
 }
@@ -85,6 +88,9 @@
 	if failure := rejectEarly(g.settings.Snapshot(), call); failure != nil {
 		return Slot{}, failure
 	}
+	if failure := g.rejectCold(arrived); failure != nil {
+		return Slot{}, failure
+	}
 	if call.Route == "" {
 		call.Class = max(call.Class, g.settings.Classifier.Classify(call))
 	}
@@ -124,9 +130,18 @@
 	report.Incarnation = snapshot.Self.Incarnation
 	report.Leaving = final.Leaving(snapshot)
 	report.Revision = snapshot.Revision
+	state := g.settings.Warmth.State(g.settings.Now())
+	report.ColdMs = ceilMs(state.Left)
+	report.ColdRoom = state.Room
+	report.ColdWaitMs = ceilMs(state.Wait)
 	return report
 }
 
+// ceilMs returns a duration in ms, rounded up, so that nothing that lasts is reported as over.
+func ceilMs(d time.Duration) int {
+	return int((d + time.Millisecond - 1) / time.Millisecond)
+}
+
 func (g *Gate[D, P]) arrive(now time.Time, call model.Call) (uint64, admit.Decision, chan admit.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/core/traffic/hold/hold_test.go
+++ b/core/traffic/hold/hold_test.go
@@ -12,6 +12,7 @@
 	"comfreytack/core/command/adapt"
 	"comfreytack/core/command/admit"
 	"comfreytack/core/command/class"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/model"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/traffic/learn"
@@ -50,6 +51,7 @@
 	d.gate = hold.New(hold.Settings{
 		Suspended:   func() time.Duration { return d.suspended },
 		UsableShare: usableShare,
+		Warmth:      warm.New(time.Now()),
 		Snapshot:    view,
 		Now:         time.Now,
 		Classifier:  learn.New(view, class.New(16)),
@@ -226,6 +228,26 @@
 			},
 			want: model.UpstreamLeaving,
 		},
+		{
+			name: "calls that wait are refused when the failure domain is evacuated",
+			act: func(d *driver) model.Reason {
+				d.enter(d.Context())
+				outcome := d.queue(d.Context())
+				d.gate.RefuseWaiting(model.DomainEvacuated)
+				return <-outcome
+			},
+			want:         model.DomainEvacuated,
+			wantInFlight: 1,
+		},
+		{
+			name: "a call in an evacuated failure domain is refused",
+			act: func(d *driver) model.Reason {
+				d.snapshot.Evacuated = mapset.NewThreadUnsafeSet(d.snapshot.Self.FailureDomain)
+				_, reason := d.enter(d.Context())
+				return reason
+			},
+			want: model.DomainEvacuated,
+		},
 		{
 			name: "a suspension of the machine is noticed, although the clock did not advance",
 			act: func(d *driver) model.Reason {
--- a/core/traffic/send/elsewhere.go
+++ b/core/traffic/send/elsewhere.go
@@ -29,6 +29,11 @@
 // noneLeft returns the failure of a call for which no upstream is left. Before the first attempt it says what the
 // upstreams lack, and when to come back.
 func (s *Sender[P]) noneLeft(p *progress, call *model.Call, last *model.Failure) *model.Failure {
+	if last.Reason == model.DomainEvacuated {
+		refused := *last
+		refused.RetryAfter = max(last.RetryAfter, evacuatedRetryAfter)
+		return &refused
+	}
 	if last.Reason != model.NoUpstream {
 		return last
 	}
--- a/core/traffic/send/send_test.go
+++ b/core/traffic/send/send_test.go
@@ -22,6 +22,7 @@
 	reason, forced model.Reason
 	report         model.GateReport
 	retryAfter     time.Duration
+	domain         model.FailureDomain
 }
 
 // gates answers attempts according to the upstream's name and records them.
@@ -68,6 +69,7 @@
 	full := model.GateReport{InFlight: 9, Slots: 9, Queued: 1}
 	fuller := model.GateReport{InFlight: 9, Slots: 9, Queued: 5}
 	idle := model.GateReport{Slots: 9}
+	coldFull := model.GateReport{Slots: 9, ColdMs: 3000, ColdWaitMs: 300}
 	tests := []struct {
 		name  string
 		gates map[model.UpstreamName]reply
@@ -103,6 +105,34 @@
 			},
 			tried: []model.UpstreamName{"a", "b", "c", "c", "d"},
 		},
+		{
+			name: "a cold upstream has no room, and the next answers",
+			gates: map[model.UpstreamName]reply{
+				"a": {reason: model.UpstreamCold, forced: model.UpstreamCold, report: coldFull}, "b": {reason: model.UpstreamCold, report: coldFull},
+				"c": {reason: model.UpstreamCold, report: coldFull}, "d": {reason: model.UpstreamCold, report: coldFull}, "e": {report: idle},
+			},
+			tried: []model.UpstreamName{"a", "b", "c", "d", "e"},
+		},
+		{
+			name: "all are cold without room", gates: map[model.UpstreamName]reply{
+				"a": {reason: model.UpstreamCold, report: coldFull, retryAfter: 300 * time.Millisecond},
+				"b": {reason: model.UpstreamCold, report: coldFull, retryAfter: 400 * time.Millisecond},
+			},
+			want: model.UpstreamCold, tried: []model.UpstreamName{"a", "b"}, retryAfter: 400 * time.Millisecond,
+		},
+		{
+			name: "the failure domain is evacuated, and the entry does not know it yet",
+			gates: map[model.UpstreamName]reply{
+				"a": {reason: model.DomainEvacuated, domain: "sur"}, "b": {reason: model.DomainEvacuated, domain: "sur"}, "c": {report: idle, domain: "norte"},
+			},
+			tried: []model.UpstreamName{"a", "c"},
+		},
+		{
+			name: "all failure domains are evacuated", gates: map[model.UpstreamName]reply{
+				"a": {reason: model.DomainEvacuated, domain: "sur"}, "b": {reason: model.DomainEvacuated, domain: "norte"},
+			},
+			want: model.DomainEvacuated, tried: []model.UpstreamName{"a", "b"}, retryAfter: time.Second,
+		},
 		{name: "no upstream", want: model.NoUpstream},
 	}
 	for _, test := range tests {
@@ -124,10 +154,14 @@
 // newSender returns a sender that knows the upstreams of the given gates, but not their load.
 func newSender(gates map[model.UpstreamName]reply) *send.Sender[byName] {
 	var upstreams []model.Upstream
-	for name := range gates {
-		upstreams = append(upstreams, model.Upstream{Name: name, Service: "beds"})
+	for name, reply := range gates {
+		upstreams = append(upstreams, model.Upstream{Name: name, Service: "beds", FailureDomain: reply.domain})
 	}
-	snapshot := &model.Snapshot{Services: map[model.ServiceName]model.Service{"beds": {Upstreams: upstreams}}, Leaving: mapset.NewThreadUnsafeSet[model.UpstreamName]()}
+	return newSenderOf(&model.Snapshot{Services: map[model.ServiceName]model.Service{"beds": {Upstreams: upstreams}}, Leaving: mapset.NewThreadUnsafeSet[model.UpstreamName]()})
+}
+
+// newSenderOf returns a sender that reads the given control state.
+func newSenderOf(snapshot *model.Snapshot) *send.Sender[byName] {
 	return send.New(send.Settings{
 		Snapshot:    func() *model.Snapshot { return snapshot },
 		Now:         time.Now,
@@ -136,3 +170,41 @@
 		Retries:     budget.New(budget.DefaultSettings()),
 	}, route.New(byName{}))
 }
+
+// TestNothingOpen checks the refusals of calls that no upstream can take by what this daemon knows, without an attempt.
+func TestNothingOpen(t *testing.T) {
+	all := []model.Upstream{{Name: "a", Service: "beds", FailureDomain: "sur"}, {Name: "b", Service: "beds", FailureDomain: "sur"}}
+	tests := []struct {
+		name       string
+		open       map[model.ServiceName][]model.Upstream
+		cold       bool
+		want       model.Reason
+		retryAfter time.Duration
+	}{
+		{name: "the only failure domain is evacuated", open: map[model.ServiceName][]model.Upstream{"beds": {}}, want: model.DomainEvacuated, retryAfter: time.Second},
+		{name: "all are cold without room", cold: true, want: model.UpstreamCold},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			fake := &gates{reply: map[model.UpstreamName]reply{}}
+			sender := newSenderOf(&model.Snapshot{
+				Services: map[model.ServiceName]model.Service{"beds": {Upstreams: all}}, Open: test.open, Leaving: mapset.NewThreadUnsafeSet[model.UpstreamName](),
+			})
+			if test.cold {
+				refuse := reply{reason: model.UpstreamCold, report: model.GateReport{ColdMs: 60_000, ColdWaitMs: 60_000}}
+				fake.reply["a"], fake.reply["b"] = refuse, refuse
+				_, _ = send.Send(t.Context(), sender, model.Call{Service: "beds", Deadline: time.Now().Add(time.Minute)}, fake)
+				fake.tried = nil
+			}
+			_, failure := send.Send(t.Context(), sender, model.Call{Service: "beds", Deadline: time.Now().Add(time.Minute)}, fake)
+			qt.Assert(t, failure.Verdict, qt.Equals, model.NotRun)
+			qt.Assert(t, failure.Reason, qt.Equals, test.want)
+			qt.Assert(t, failure.NoRetry, qt.IsTrue)
+			qt.Assert(t, failure.RetryAfter > 0, qt.IsTrue)
+			if test.retryAfter > 0 {
+				qt.Assert(t, failure.RetryAfter, qt.Equals, test.retryAfter)
+			}
+			qt.Assert(t, fake.tried, qt.HasLen, 0)
+		})
+	}
+}
