Give a cold upstream its tolerated rate evenly, also right after a start of its daemon, and leave room for nested calls

Change: tokens that come back at the tolerated rate, with a burst of half a second's, in place of a count over a sliding second. A daemon that starts has none, which together with what its predecessor sent keeps to the same bound. Half of the burst is left to nested calls while there are any. A refused connection shows that what was sent before went to an earlier incarnation.

--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -176,7 +176,7 @@
 		Warmth:      deps.warmth,
 		Classifier:  learn.New(deps.control.Snapshot, class.New(maxLearntRoutes)),
 	}, admit.New(initialSlots, discipline), adapt.New(1, initialSlots, limiter))
-	watch := &upstreamWatch{warmth: deps.warmth, refuseWaiting: holder.RefuseWaiting, now: time.Now, log: deps.log}
+	watch := &upstreamWatch{address: deps.settings.Upstream, warmth: deps.warmth, refuseWaiting: holder.RefuseWaiting, now: time.Now, log: deps.log}
 	deps.plane.watchers = append(deps.plane.watchers, watch.changed)
 	watch.registerMetrics(deps.meter, deps.control.Snapshot)
 	localGate := gate.New(gate.Settings[D]{
@@ -196,7 +196,7 @@
 			Detector:        deps.detector,
 			DetectorChanged: func() { deps.control.Post(daemon.CrashSeen{}) },
 			Now:             time.Now,
-			Down:            func() bool { return relay.RefusesConnections(deps.settings.Upstream) },
+			Down:            watch.down,
 
 			RecheckDelay: downRecheckInterval,
 		}),
--- a/cftd/start/upstream.go
+++ b/cftd/start/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"comfreytack/cftd/meter"
+	"comfreytack/cftd/relay"
 	"comfreytack/core/command/warm"
 	"comfreytack/core/field"
 	"comfreytack/core/model"
@@ -13,6 +14,7 @@
 // upstreamWatch passes on what the control state says of the local upstream, and logs when it becomes cold or warm. Only
 // the control goroutine uses it.
 type upstreamWatch struct {
+	address model.Address
 	warmth *warm.Limiter
 	// refuseWaiting refuses the calls that wait for the upstream.
 	refuseWaiting func(model.Reason)
@@ -22,6 +24,16 @@
 	cold bool
 }
 
+// down reports whether the upstream's process does not run. It may be called by any goroutine.
+func (w *upstreamWatch) down() bool {
+	askedAt := w.now()
+	refuses := relay.RefusesConnections(w.address)
+	if refuses {
+		w.warmth.Gone(askedAt)
+	}
+	return refuses
+}
+
 // changed handles a new snapshot.
 func (w *upstreamWatch) changed(before, after *model.Snapshot) {
 	now := w.now()
--- a/core/command/warm/warm.go
+++ b/core/command/warm/warm.go
@@ -1,11 +1,12 @@
 // Package warm limits the requests that a gate sends to its upstream while the upstream is cold.
 //
-// Wherever the upstream turned cold, it has got at most Limit requests in any second since, because sends count from the
-// last reading that showed it to be warm, and not from the moment at which the gate learns that it is cold:
+// A cold upstream gets at most the rate that it tolerates, and a burst of half a second's requests beyond it. It does so
+// from the moment at which it turns cold, because every send takes from the burst, and only a reading that shows the
+// upstream to be warm gives back what was taken before that reading was asked for:
 //
-//	limit 3, read warm at 0 ms, sends at 10, 20, 30 ms, next at 40 ms  ->  Read: it may have turned cold at 1 ms
-//	the reading says warm                                              ->  Start: the sends until 40 ms no longer count
-//	the reading says cold                                              ->  Refuse: the next one fits at 1010 ms
+//	tolerated 2 a second, burst 1, read warm at 0 ms, sent at 10 ms, next at 40 ms  ->  Read: it may have turned cold at 1 ms
+//	a reading asked for at 40 ms says warm                                        ->  Start: what was sent before is given back
+//	it says cold                                                                  ->  Refuse: the next one fits at 510 ms
 //
 // A Limiter is safe for concurrent use.
 package warm
@@ -13,28 +14,25 @@
 //go:generate go tool stringer -type=Action -linecomment -output=enums_string.go
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"comfreytack/core/model"
 )
 
-// span is the time in which the sends to a cold upstream are limited.
-const span = time.Second
-
-// burstShare is the part of the tolerated rate that is added to it for requests that arrive unevenly.
-const burstShare = 0.25
-
-// Limit returns how many requests a cold upstream may get in any second, if it tolerates the given number a second; zero
-// when there is no limit.
-//
-//	Limit(12) = 15, Limit(0.5) = 1, Limit(0) = 0
-func Limit(perS float64) int {
-	if perS <= 0 {
-		return 0
-	}
-	return max(1, int(perS*(1+burstShare)))
-}
+const (
+	// burstShare is the burst as a share of the requests that the upstream tolerates in a second.
+	burstShare = 0.5
+	// nestedShare is the share of the burst that only nested calls may use, while there are any.
+	nestedShare = 0.5
+	// prefetchShare is the share of the burst below which a reading is asked for in advance.
+	prefetchShare = 2.0 / 3
+	// nestedMemory is how long nested calls count as present after the last one.
+	nestedMemory = time.Second
+	// maxSends bounds how many sends are remembered; those of a tolerated rate above are not told from each other.
+	maxSends = 1024
+)
 
 // Action is what the gate does with a call that is about to be sent.
 type Action int
@@ -52,7 +50,7 @@
 // Decision is the answer to Begin.
 type Decision struct {
 	Action Action
-	// RetryAfter is when the next request fits; zero unless the action is Refuse.
+	// RetryAfter is when the next request fits; zero if the action is Start.
 	RetryAfter time.Duration
 }
 
@@ -69,16 +67,19 @@
 // Limiter counts the sends of one gate.
 type Limiter struct {
 	mu sync.Mutex
-	// startedAt is when the gate started: it does not know what was sent before.
-	startedAt time.Time
-	// sends has the times of the last sends in a ring of as many as the limit; next is the oldest. It is empty when there
-	// is no limit.
+	// perS is the rate that the upstream tolerates while it is cold; zero when there is no limit.
+	perS float64
+	// tokens is how many requests could be sent at the time of refilledAt; from 0 to burst. A gate that has just started
+	// has none: its predecessor may have used them.
+	tokens     float64
+	refilledAt time.Time
+	// sends has the times of the last sends in a ring; next is the oldest.
 	sends []time.Time
 	next  int
-	// lastSentAt is when the last request was sent while there was no limit; zero when none was.
+	// lastSentAt is when the last call was sent; zero when none was.
 	lastSentAt time.Time
-	// warmAt is when the newest reading that showed a warm upstream was asked for. Sends before do not count.
-	warmAt time.Time
+	// nestedAt is when a nested call was decided about last.
+	nestedAt time.Time
 	// coldUntil is the latest end of the cold that any source has named.
 	coldUntil time.Time
 	// listed is the upstream's entry that was observed last.
@@ -87,7 +88,7 @@
 
 // New returns the limiter of a gate that has just started.
 func New(now time.Time) *Limiter {
-	return &Limiter{startedAt: now}
+	return &Limiter{refilledAt: now}
 }
 
 // Listed observes the upstream's entry and its service, whenever they may have changed. The end of the cold that an
@@ -95,7 +96,7 @@
 func (l *Limiter) Listed(now time.Time, upstream model.Upstream, service model.Service) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.resize(Limit(service.WarmupPerS))
+	l.setRate(service.WarmupPerS)
 	if upstream == l.listed || (upstream.Instance == "" && l.listed.Instance != "") {
 		return
 	}
@@ -117,80 +118,121 @@
 		l.extend(answeredAt.Add(left))
 		return
 	}
-	// Another source says that it is cold until later than this answer: the latest end wins.
-	if answeredAt.Before(l.coldUntil) {
-		return
-	}
-	if askedAt.After(l.warmAt) {
-		l.warmAt = askedAt
+	// When another source says that it is cold until later than this answer, the latest end wins.
+	if !answeredAt.Before(l.coldUntil) {
+		l.giveBack(answeredAt, askedAt)
 	}
 }
 
-// Begin decides about a call that is about to be sent, and counts it if it is.
-func (l *Limiter) Begin(now time.Time) Decision {
+// Gone takes the observation that no upstream ran when it was asked for at the given time. What was sent before went to an
+// earlier incarnation.
+func (l *Limiter) Gone(askedAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.giveBack(askedAt, askedAt)
+}
+
+// Begin decides about a call that is about to be sent, and counts it if it is. Calls that are not nested leave a part of
+// the burst to those that are.
+func (l *Limiter) Begin(now time.Time, nested bool) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.sends) == 0 {
+	if l.perS == 0 {
 		l.lastSentAt = now
 		return Decision{}
 	}
-	wait := l.wait(now)
-	switch {
+	l.refill(now)
+	if nested {
+		l.nestedAt = now
+	}
+	needed := 1 + l.reserved(now, nested)
+	switch wait := l.wait(needed); {
 	case wait <= 0:
+		l.tokens--
+		l.lastSentAt = now
 		l.sends[l.next] = now
 		l.next = (l.next + 1) % len(l.sends)
 		return Decision{}
 	case now.Before(l.coldUntil):
 		return Decision{Action: Refuse, RetryAfter: wait}
+	default:
+		return Decision{Action: Read, RetryAfter: wait}
 	}
-	return Decision{Action: Read, RetryAfter: wait}
 }
 
-// NeedsReading reports whether so many sends count that a reading is to be asked for in advance.
+// NeedsReading reports whether so much of the burst is used that a reading is to be asked for in advance.
 func (l *Limiter) NeedsReading(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.sends) == 0 || now.Before(l.coldUntil) {
-		return false
-	}
-	return l.room(now) <= len(l.sends)/2
+	return l.unsure(now, prefetchShare)
 }
 
-// Unsure reports whether Begin would need a reading.
+// Unsure reports whether Begin may need a reading.
 func (l *Limiter) Unsure(now time.Time) bool {
+	return l.unsure(now, nestedShare)
+}
+
+// unsure reports whether not even one token is left besides a share of the burst, and the upstream is not known to be
+// cold.
+func (l *Limiter) unsure(now time.Time, share float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.sends) > 0 && !now.Before(l.coldUntil) && l.wait(now) > 0
+	if l.perS == 0 || now.Before(l.coldUntil) {
+		return false
+	}
+	l.refill(now)
+	return l.tokens < min(l.burst(), 1+math.Floor(l.burst()*share))
 }
 
-// State describes the limiter now.
+// State describes the limiter now, as calls that are not nested see it.
 func (l *Limiter) State(now time.Time) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.sends) == 0 || !now.Before(l.coldUntil) {
+	if l.perS == 0 || !now.Before(l.coldUntil) {
 		return State{}
 	}
-	return State{Left: l.coldUntil.Sub(now), Room: l.room(now), Wait: max(0, l.wait(now))}
+	l.refill(now)
+	reserved := l.reserved(now, false)
+	return State{Left: l.coldUntil.Sub(now), Room: max(0, int(l.tokens-reserved)), Wait: max(0, l.wait(1+reserved))}
 }
 
-// wait returns how long until one more request fits; not positive when it fits now. The caller holds the lock.
-func (l *Limiter) wait(now time.Time) time.Duration {
-	oldest := l.sends[l.next]
-	if oldest.Before(l.warmAt) {
+// burst is the largest number of requests that may be sent at once.
+func (l *Limiter) burst() float64 { return max(1, l.perS*burstShare) }
+
+// reserved returns the tokens that a call leaves to nested ones.
+func (l *Limiter) reserved(now time.Time, nested bool) float64 {
+	if nested || now.Sub(l.nestedAt) >= nestedMemory {
 		return 0
 	}
-	return oldest.Add(span).Sub(now)
+	return math.Floor(l.burst() * nestedShare)
+}
+
+// wait returns how long until there are as many tokens as needed; not positive when there are. The caller holds the lock.
+func (l *Limiter) wait(needed float64) time.Duration {
+	return time.Duration(math.Ceil((needed - l.tokens) / l.perS * float64(time.Second)))
 }
 
-// room returns how many requests fit now. The caller holds the lock.
-func (l *Limiter) room(now time.Time) int {
-	room := 0
+// refill adds the tokens of the time that has passed. The caller holds the lock.
+func (l *Limiter) refill(now time.Time) {
+	passed := now.Sub(l.refilledAt)
+	if passed <= 0 {
+		return
+	}
+	l.tokens = min(l.burst(), l.tokens+l.perS*passed.Seconds())
+	l.refilledAt = now
+}
+
+// giveBack gives back the tokens of what was sent before the given time. The caller holds the lock.
+func (l *Limiter) giveBack(now, before time.Time) {
+	if l.perS == 0 {
+		return
+	}
+	l.refill(now)
+	since := 0
 	for _, sentAt := range l.sends {
-		if sentAt.Before(l.warmAt) || now.Sub(sentAt) >= span {
-			room++
+		if !sentAt.Before(before) {
+			since++
 		}
 	}
-	return room
+	l.tokens = max(l.tokens, l.burst()-float64(since))
 }
 
 // extend moves the end of the cold to a later time. The caller holds the lock.
@@ -200,22 +242,17 @@
 	}
 }
 
-// resize changes the limit. What was sent before is then not known, so a whole limit counts as sent at the last send, or
-// at the start when there was none: a predecessor of this gate may have sent that much just before. The caller holds the
-// lock.
-func (l *Limiter) resize(limit int) {
-	if limit == len(l.sends) {
+// setRate changes the tolerated rate. Under another one nothing is known of what was sent before, so there were no tokens
+// left after the last send. The caller holds the lock.
+func (l *Limiter) setRate(perS float64) {
+	if perS == l.perS {
 		return
 	}
-	unknownAt := l.startedAt
-	for _, sentAt := range append(l.sends, l.lastSentAt) {
-		if sentAt.After(unknownAt) {
-			unknownAt = sentAt
-		}
+	if l.lastSentAt.After(l.refilledAt) {
+		l.refilledAt = l.lastSentAt
 	}
-	l.sends = make([]time.Time, limit)
+	l.perS = perS
+	l.tokens = 0
 	l.next = 0
-	for i := range l.sends {
-		l.sends[i] = unknownAt
-	}
+	l.sends = make([]time.Time, min(maxSends, int(math.Ceil(perS+l.burst()))))
 }
--- a/core/traffic/hold/confirm.go
+++ b/core/traffic/hold/confirm.go
@@ -31,7 +31,7 @@
 	// The newest limit counts, also if nobody has told the limiter of it yet.
 	g.settings.Warmth.Listed(now, snapshot.Self, snapshot.Services[snapshot.Self.Service])
 	// Without a reading that says otherwise the upstream counts as cold: the gate has asked for one before.
-	if decision := g.settings.Warmth.Begin(now); decision.Action != warm.Start {
+	if decision := g.settings.Warmth.Begin(now, call.Nested); decision.Action != warm.Start {
 		return cold(decision.RetryAfter)
 	}
 	return nil
