--- a/cftd/entry/attempt.go
+++ b/cftd/entry/attempt.go
@@ -17,7 +17,8 @@
 type LocalGate interface {
 	Run(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure)
 	Report() model.GateReport
-	IsRunning(id string) bool
+	// Running reports whether the upstream is working on the request with the given ID, and that request's rank.
+	Running(id string) (rank int, running bool)
 }
 
 // attempter makes the attempts of one call at gates. It implements send.Attempter.
@@ -100,7 +101,7 @@
 // sendToGate sends the request to another daemon's gate. The report is nil when the reply carried none.
 func (a *attempter[D]) sendToGate(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.GateReport, *model.Failure) {
 	wire.SetCall(request.Header, call, a.entry.settings.Now())
-	request.ExpectContinue = a.body.Rest != nil
+	request.ExpectContinue = a.body.Large()
 	answer, failure := relay.RoundTrip(ctx, a.entry.settings.Transport, request, model.GateLost)
 	if failure != nil {
 		return nil, nil, failure
--- a/cftd/gate/gate_test.go
+++ b/cftd/gate/gate_test.go
@@ -48,15 +48,30 @@
 	slowPercent = 1_000_000
 )
 
+// dialect has upstreams that say by a status that they are another instance.
+type dialect struct{ talk.Native }
+
+// CheckAnswer implements talk.Dialect.
+func (dialect) CheckAnswer(_ model.Call, _ model.Service, answer *http.Response) *model.Failure {
+	if answer.StatusCode == http.StatusMisdirectedRequest {
+		return talk.Refuse(model.InstanceRefused)
+	}
+	return nil
+}
+
 // fixture is a gate of two slots beside an upstream that reports its pace.
 type fixture struct {
-	gate     *gate.Gate[*hold.Gate[*admit.Ranked, adapt.Fixed], talk.Native]
+	gate     *gate.Gate[*hold.Gate[*admit.Ranked, adapt.Fixed], dialect]
 	snapshot atomic.Pointer[model.Snapshot]
 	percent  atomic.Int64
 	// warmupMs is how much longer the upstream says that it is cold.
 	warmupMs atomic.Int64
+	// replaced is true while the upstream is another instance than the listed one.
+	replaced atomic.Bool
 	// polls counts the queries of the pace, and received the other requests that the upstream got.
 	polls, received atomic.Int64
+	// listed is the instance that calls are meant for.
+	listed model.InstanceID
 	// answer lets one request be answered that the upstream holds; requests for "/" are answered at once.
 	answer chan struct{}
 	warmth *warm.Limiter
@@ -70,7 +85,7 @@
 // newFixtureStartedAt returns a fixture whose gate does not know what was sent to the upstream until the given time.
 func newFixtureStartedAt(t *testing.T, connections int, startedAt time.Time) *fixture {
 	t.Helper()
-	f := &fixture{answer: make(chan struct{}), warmth: warm.New(startedAt)}
+	f := &fixture{listed: "i-1", answer: make(chan struct{}), warmth: warm.New(startedAt)}
 	f.percent.Store(100)
 	f.snapshot.Store(&model.Snapshot{
 		Self:        model.Upstream{Name: self, Service: "reservas", Instance: "i-1", FailureDomain: domain},
@@ -102,7 +117,7 @@
 	transport := relay.NewTransport(connections, time.Minute)
 	t.Cleanup(transport.CloseIdleConnections)
 	view := f.snapshot.Load
-	f.gate = gate.New(gate.Settings[talk.Native]{
+	f.gate = gate.New(gate.Settings[dialect]{
 		Upstream:  address,
 		Transport: transport,
 		Snapshot:  view,
@@ -137,6 +152,10 @@
 		return
 	}
 	f.received.Add(1)
+	if f.replaced.Load() {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	time.Sleep(workTime)
 	if r.URL.Path != "/" {
 		<-f.answer
@@ -147,7 +166,7 @@
 func (f *fixture) run(ctx context.Context, path string) model.Reason {
 	now := time.Now()
 	call := model.Call{
-		ID: "1", Customer: "police", Service: "reservas", Route: "book", Instance: "i-1", Forced: true,
+		ID: "1", Customer: "police", Service: "reservas", Route: "book", Forced: true, Instance: f.listed,
 		Target: now.Add(callTimeout), Deadline: now.Add(callTimeout),
 	}
 	answer, failure := f.gate.Run(ctx, call, relay.Request{
@@ -274,6 +293,22 @@
 	}
 }
 
+// TestReplacedUpstreamIsAskedOnce checks that a gate whose upstream has answered that it is another instance sends it no
+// further calls for the listed one, until the list changes.
+func TestReplacedUpstreamIsAskedOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.replaced.Store(true)
+	qt.Assert(t, f.run(t.Context(), "/"), qt.Equals, model.InstanceRefused)
+	for range 3 {
+		qt.Assert(t, f.run(t.Context(), "/"), qt.Equals, model.InstanceStale)
+	}
+	qt.Assert(t, f.received.Load(), qt.Equals, int64(1))
+	f.replaced.Store(false)
+	f.listed = "i-2"
+	f.publish(func(s *model.Snapshot) { s.Self.Instance = "i-2" })
+	qt.Assert(t, f.run(t.Context(), "/"), qt.Equals, model.NoReason)
+}
+
 // waitUntil waits for a condition that holds sooner or later.
 func waitUntil(condition func() bool) {
 	for !condition() {
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -56,10 +56,15 @@
 	gateIdleTimeout     = time.Minute
 	downRecheckInterval = 20 * time.Millisecond
 	maxLearntRoutes     = 1024
+	// usedRetryShare is how much of the allowed retries daemons use. The rest is for calls that requests make when they
+	// run once more: they count as retries too, and nobody sees that they are.
+	usedRetryShare = 0.85
 	// These bound what a home stores for each customer.
 	keysPerCustomer        = 1024
 	answerBytesPerCustomer = 128 << 10
 	answerLifetime         = 10 * time.Minute
+	// spoolBytes bounds the memory for bodies that are read before they are sent, because they may crash upstreams.
+	spoolBytes = 8 << 20
 )
 
 // parts has what Serve starts and stops: the handlers of the HTTP ports and the functions of the other components.
@@ -225,6 +230,8 @@
 		UsedTime:   prior.New(),
 		Log:        deps.log,
 		IssuesKeys: deps.front.IssuesKeys,
+		Suspected:  func(prefix model.Fingerprint) bool { return deps.detector.Suspected(time.Now(), prefix) },
+		Spool:      relay.NewSpool(spoolBytes),
 		Meter:      deps.meter,
 	})
 	return &parts{
@@ -279,6 +286,8 @@
 		Tracker:     deps.loads,
 		ProbeBudget: deps.probeBudget,
 		Retries:     budget.New(deps.front.Retries),
+
+		RetryPercent: int(usedRetryShare * deps.settings.RetryShare * 100),
 	}, route.New(policy))
 	return func(ctx context.Context, call model.Call, attempter send.Attempter[*http.Response]) (*http.Response, *model.Failure) {
 		return send.Send(ctx, sender, call, attempter)
--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -93,6 +93,8 @@
 	// ByReader is the newest one in a report of a read. A daemon that lacks changes after such a report reads them. Of a
 	// revision in a digest only, the report is still on its way, or this daemon's knowledge is about to get old.
 	ByReader model.Revision
+	// ArrivingSince is when the read in flight has shown that it brings a large change; zero when it has not.
+	ArrivingSince time.Time
 }
 
 // New returns the state of a daemon without any configuration.
@@ -130,6 +132,9 @@
 	switch e := event.(type) {
 	case ChangesRead:
 		effects = append(effects, s.changesRead(now, e)...)
+	case LargeChange:
+		s.Reported.ArrivingSince = now
+		effects = append(effects, s.reportLargeChange(now, e.After)...)
 	case MessageReceived:
 		effects = append(effects, s.messageReceived(now, e.Message)...)
 	case PeerLost:
@@ -153,7 +158,7 @@
 // stopping learn at once that its upstream takes work again. One that the platform alone has made ready asks for the
 // notices and the evidence that its predecessor knew.
 func (s *State) updateReady(now time.Time) []Effect {
-	if !s.Start.updateReady(now, s.Config.Complete) {
+	if s.awaitsDocument() || !s.Start.updateReady(now, s.Config.Complete) {
 		return nil
 	}
 	s.Gossip.QueueAnnouncement(gossip.UrgentFanOut)
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -55,8 +55,11 @@
 	RunUntil time.Time
 	// Suspect marks an attempt made after an upstream died while it ran this call.
 	Suspect bool
-	// Fingerprint is zero when the body was too large to hash.
+	// Fingerprint identifies requests that are the same in customer, method, path and body; zero while the body is not
+	// known to its end.
 	Fingerprint Fingerprint
+	// Prefix identifies requests whose long bodies begin alike; zero for a short body.
+	Prefix Fingerprint
 }
 
 // RunDeadline returns when a started run is aborted.
@@ -110,7 +113,7 @@
 	// Upstream and Incarnation identify the reporting gate.
 	Upstream    UpstreamName `json:"upstream"`
 	Incarnation Incarnation  `json:"incarnation"`
-	// InFlight is the number of slots in use, from 0 to Slots, or above by those kept for nested calls.
+	// InFlight is the number of slots in use, from 0 to Slots.
 	InFlight int `json:"in_flight"`
 	// Queued is the number of waiting requests.
 	Queued int `json:"queued"`
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -14,6 +14,7 @@
 	"comfreytack/core/model"
 	"comfreytack/core/query/retry"
 	"comfreytack/core/query/route"
+	"comfreytack/core/traffic/stale"
 )
 
 // Attempter makes attempts at upstreams' gates in the encoding of one front end. A is the type of its answers.
@@ -38,12 +39,16 @@
 	ProbeBudget *probe.Budget
 	// Retries limits the retries of each customer.
 	Retries *budget.Buckets
+	// RetryPercent is the percentage of a retry that each call earns; zero means that of its customer.
+	RetryPercent int
 }
 
 // Sender picks upstreams and counts the calls in flight to each.
 type Sender[P route.Policy] struct {
 	settings Settings
 	picker   *route.Picker[P]
+	// stale has the listed instances that no longer run.
+	stale stale.Memory
 	// scratch pools slices of candidates, so that choosing an upstream allocates none.
 	scratch sync.Pool
 }
@@ -61,7 +66,7 @@
 func Send[P route.Policy, A any](ctx context.Context, s *Sender[P], call model.Call, attempter Attempter[A]) (A, *model.Failure) {
 	var zero A
 	state := retry.State{Deadline: call.Deadline, Idempotent: call.Idempotent, MaxReached: call.Attempts}
-	s.settings.Retries.Deposit(s.settings.Now(), budgetKey(call), s.settings.Snapshot().Limits[call.Customer].RetryPercent)
+	s.settings.Retries.Deposit(s.settings.Now(), budgetKey(call), s.retryPercent(call))
 	progress := progress{tried: make([]model.UpstreamName, 0, retry.MaxAttempts)}
 	last := &model.Failure{Verdict: model.NotRun, Reason: model.NoUpstream, NoRetry: true}
 	for {
@@ -73,6 +78,7 @@
 		if failure == nil {
 			return answer, nil
 		}
+		s.stale.Learn(s.settings.Now(), upstream.Name, upstream.Instance, failure.Reason)
 		canResend := attempter.CanResend() && ctx.Err() == nil
 		if canResend && refusedAsOverloaded(failure.Reason) {
 			progress.overloaded = append(progress.overloaded, upstream.Name)
@@ -83,6 +89,11 @@
 			last = retry.Final(failure)
 			continue
 		}
+		if canResend && failure.Reason == model.InstanceStale {
+			// The gate refused by what it remembers, which costs no upstream anything and is now remembered here too.
+			last = retry.Final(failure)
+			continue
+		}
 		call.Suspect = call.Suspect || retry.MayHaveCrashed(failure.Reason)
 		state = afterFailure(state, failure, progress.remaining(canResend))
 		if decision := s.decideRetry(state, call, failure); decision.Action == retry.GiveUp {
@@ -157,14 +168,17 @@
 	snapshot := s.settings.Snapshot()
 	all := s.settings.Tracker.Candidates(now, service, snapshot.OpenUpstreams(service), into)
 	return slices.DeleteFunc(all, func(c route.Candidate) bool {
-		return snapshot.Leaving.Contains(c.Upstream.Name)
+		return snapshot.Leaving.Contains(c.Upstream.Name) || s.stale.Refuses(now, c.Upstream.Name, c.Upstream.Instance)
 	})
 }
 
 // afterFailure returns the state after a failed attempt.
 func afterFailure(state retry.State, failure *model.Failure, untried int) retry.State {
 	state.Attempts++
-	if retry.Reached(failure.Reason) {
+	switch {
+	case failure.Reason == model.UpstreamShed:
+		state.Shed++
+	case retry.Reached(failure.Reason):
 		state.Reached++
 	}
 	if retry.MayHaveCrashed(failure.Reason) {
@@ -189,10 +203,18 @@
 	return budget.Key{Customer: call.Customer, Service: call.Service}
 }
 
+// retryPercent returns the percentage of a retry that a call earns.
+func (s *Sender[P]) retryPercent(call model.Call) int {
+	if s.settings.RetryPercent > 0 {
+		return s.settings.RetryPercent
+	}
+	return s.settings.Snapshot().Limits[call.Customer].RetryPercent
+}
+
 func (s *Sender[P]) decideRetry(state retry.State, call model.Call, failure *model.Failure) retry.Decision {
 	now := s.settings.Now()
 	return retry.Next(now, state, failure, func() bool {
-		return s.settings.Retries.Withdraw(now, budgetKey(call))
+		return s.settings.Retries.Withdraw(now, budgetKey(call), call.Rank)
 	})
 }
 
