--- a/core/query/status/status.go
+++ b/core/query/status/status.go
@@ -3,8 +3,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"comfreytack/core/model"
 )
@@ -28,6 +30,8 @@
 	Services []ServiceView `json:"services"`
 	// Leaving lists the upstreams that take no new work, sorted by name.
 	Leaving []model.UpstreamName `json:"leaving"`
+	// Evacuated lists the failure domains whose upstreams take no new work, sorted by name.
+	Evacuated []model.FailureDomain `json:"evacuated,omitempty"`
 	// Refusals lists the published values that are not in force, sorted by key.
 	Refusals []model.Refusal `json:"refusals"`
 	// Quarantined counts the quarantined fingerprints.
@@ -64,10 +68,31 @@
 	}
 	slices.SortFunc(view.Services, func(a, b ServiceView) int { return cmp.Compare(a.Name, b.Name) })
 	slices.Sort(view.Leaving)
+	if snapshot.Evacuated != nil {
+		view.Evacuated = snapshot.Evacuated.ToSlice()
+		slices.Sort(view.Evacuated)
+	}
 	slices.SortFunc(view.Refusals, func(a, b model.Refusal) int { return cmp.Compare(a.Key, b.Key) })
 	return view
 }
 
+// State describes in one line what the daemon and its upstream take: why the daemon is ready or not, whether its failure
+// domain is evacuated, how much longer its upstream is cold, and which other domains are evacuated.
+func (v *View) State() string {
+	parts := []string{v.Why}
+	for _, domain := range v.Evacuated {
+		if domain == v.Self.FailureDomain {
+			parts = append(parts, "evacuated")
+		} else {
+			parts = append(parts, "evacuated: "+string(domain))
+		}
+	}
+	if v.Gate.ColdMs > 0 {
+		parts = append(parts, fmt.Sprintf("cold for %d ms, room for %d", v.Gate.ColdMs, v.Gate.ColdRoom))
+	}
+	return strings.Join(parts, "; ")
+}
+
 // Ready reports whether the daemon accepts calls, and why or why not.
 func Ready(snapshot *model.Snapshot) (bool, string) {
 	switch {
