Don't let a gate prolong what it remembers of a 421

Seen on reading: a call that the gate refused right before its send by what it remembers (instance_stale) was learnt again and prolonged the 5 s; the model's gates did the same for each refusal, so it never saw a memory end. The gate now learns only from failures that aren't its own refusals, and so does the model.

Changed: the fake gates of TestManyReplacedUpstreams, as said; stricter.

--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -186,14 +186,14 @@
 		return g.settings.Dialect.CheckAnswer(call, g.settings.Snapshot().Services[call.Service], answer)
 	}
 	answer, failure := relay.RoundTrip(ctx, g.settings.Transport, request, model.UpstreamDied)
-	if failure != nil {
-		g.stale.Learn(g.settings.Now(), g.self(), call.Instance, failure.Reason)
-	}
-	if failure != nil && failure == refusal.Load() {
+	switch {
+	case failure == nil:
+	case failure == refusal.Load():
 		g.settings.Meter.Decision(call, failure.Reason)
 		g.logDecision(call, hold.Slot{}, failure)
-	}
-	if failure != nil {
+		return nil, failure
+	default:
+		g.stale.Learn(g.settings.Now(), g.self(), call.Instance, failure.Reason)
 		return nil, failure
 	}
 	if percent := g.settings.Dialect.PacePercent(answer.Header); percent > 0 {
--- a/core/traffic/send/stale_test.go
+++ b/core/traffic/send/stale_test.go
@@ -44,7 +44,9 @@
 
 func (a attempt) Attempt(_ context.Context, call model.Call, upstream model.Upstream, ended func(load.Result)) (string, *model.GateReport, *model.Failure) {
 	reason := a.reason(call, upstream)
-	a.gates[upstream.Name].Learn(a.now, upstream.Name, call.Instance, reason)
+	if reason == model.InstanceRefused {
+		a.gates[upstream.Name].Learn(a.now, upstream.Name, call.Instance, reason)
+	}
 	ended(load.ResultOf(reason))
 	if reason == model.NoReason {
 		return "answer", nil, nil
--- a/core/traffic/stale/stale.go
+++ b/core/traffic/stale/stale.go
@@ -30,7 +30,8 @@
 }
 
 // Learn records how a call for an instance failed. Only an upstream's own word counts, first-hand or as its gate
-// remembers it: a gate whose instance list is older than the caller's refuses too.
+// remembers it: a gate whose instance list is older than the caller's refuses too. A gate never passes its own refusals,
+// which would prolong what they follow from.
 func (m *Memory) Learn(now time.Time, name model.UpstreamName, instance model.InstanceID, reason model.Reason) {
 	if instance == "" || (reason != model.InstanceRefused && reason != model.InstanceStale) {
 		return
