Let a nested call take a slot of those kept free, but only where it would wait long for another one

Ruled out: that it costs wherever it is used. It costs where running work is short, so that a slot is free soon anyway.

Change: the slot is taken only if the expected wait for another (mean time of the running work through the slots) is above 0.7 of the call's own time, which it loses in that slot.

--- a/core/command/admit/admit.go
+++ b/core/command/admit/admit.go
@@ -80,7 +80,8 @@
 	// Push adds a ticket.
 	Push(ticket Ticket, limits model.Limits)
 	// Pop removes and returns the next ticket for which eligible returns true. The result of eligible
-	// depends only on the tier and the class of a ticket.
+	// depends only on the tier and the class of a ticket, and on whether it is nested if Gate.NestedSlots is above
+	// Gate.Slots.
 	Pop(eligible func(Ticket) bool) (Ticket, bool)
 	// PopOverdue removes and returns a waiting ticket that should be refused now rather than kept, or
 	// returns false.
--- a/core/command/admit/gate.go
+++ b/core/command/admit/gate.go
@@ -14,6 +14,9 @@
 type Gate[D Discipline] struct {
 	// Slots is how many tickets may hold a slot at once; at least 1. SetLimits and Resize change it.
 	Slots int
+	// NestedSlots is how many tickets may hold a slot at once if the last of them are nested and would wait long for
+	// another one; at least Slots. SetNested changes it.
+	NestedSlots int
 
 	discipline D
 	limits     map[model.Customer]model.Limits
@@ -56,6 +59,7 @@
 func New[D Discipline](slots int, discipline D) *Gate[D] {
 	return &Gate[D]{
 		Slots:        slots,
+		NestedSlots:  slots,
 		nominalSlots: slots,
 		discipline:   discipline,
 		running:      map[uint64]*runningTicket{},
@@ -77,6 +81,14 @@
 // tickets keep their slots: after a reduction none starts until enough have finished.
 func (g *Gate[D]) Resize(now time.Time, slots int) []Decision {
 	g.Slots = max(1, slots)
+	g.NestedSlots = max(g.NestedSlots, g.Slots)
+	return g.dispatch(now)
+}
+
+// SetNested sets how many tickets may hold a slot at once if the last of them are nested, and returns the decisions that
+// follow for waiting tickets. It is for disciplines that order tickets one by one, such as Ranked.
+func (g *Gate[D]) SetNested(now time.Time, slots int) []Decision {
+	g.NestedSlots = max(g.Slots, slots)
 	return g.dispatch(now)
 }
 
@@ -204,7 +216,7 @@
 // startWaiting starts waiting tickets while slots are free, and refuses those that would miss their deadline.
 func (g *Gate[D]) startWaiting(now time.Time) []Decision {
 	var decisions []Decision
-	for len(g.running) < g.Slots {
+	for len(g.running) < g.NestedSlots {
 		ticket, found := g.discipline.Pop(g.canStart)
 		if !found {
 			return decisions
@@ -221,7 +233,11 @@
 
 // canStart reports whether a slot is free that the ticket may use.
 func (g *Gate[D]) canStart(ticket Ticket) bool {
-	if len(g.running) >= g.Slots {
+	slots := g.Slots
+	if ticket.Nested && g.waitsLong(ticket) {
+		slots = g.NestedSlots
+	}
+	if len(g.running) >= slots {
 		return false
 	}
 	if ticket.Class == model.Short {
@@ -231,6 +247,24 @@
 	return g.runningLong < limits.LongSlots
 }
 
+// nestedSlowdown is by how much work is slower on an upstream that uses a slot of those that are kept free, as a share of
+// its time.
+const nestedSlowdown = 0.7
+
+// waitsLong reports whether a ticket is expected to wait longer for one of the slots in use than it would lose in a slot of
+// those that are kept free.
+//
+//	5 slots, running work of 200 ms: a slot in 40 ms  ->  work of 40 ms loses 28 ms: true
+//	7 slots, running work of 60 ms: a slot in 9 ms    ->  work of 15 ms loses 11 ms: false
+func (g *Gate[D]) waitsLong(ticket Ticket) bool {
+	var running time.Duration
+	for _, run := range g.running {
+		running += run.ticket.ExpectedServiceTime
+	}
+	wait := float64(running) / float64(max(1, len(g.running))*g.Slots)
+	return wait > nestedSlowdown*float64(ticket.ExpectedServiceTime)
+}
+
 func (g *Gate[D]) start(now time.Time, ticket Ticket) Decision {
 	g.running[ticket.ID] = &runningTicket{ticket: ticket, startedAt: now}
 	if ticket.Class == model.Long {
--- a/core/command/admit/ranked_test.go
+++ b/core/command/admit/ranked_test.go
@@ -152,3 +152,57 @@
 		})
 	}
 }
+
+// TestSlotForNestedTickets checks that the slot above the others goes only to a call of work that has begun, and only if it
+// would wait long for another one. A ticket whose target is in t is expected to run for t/4.
+func TestSlotForNestedTickets(t *testing.T) {
+	const slots = 2
+	long, short := 4*time.Second, 400*time.Millisecond
+	tests := []struct {
+		name    string
+		running []time.Duration
+		ticket  admit.Ticket
+		want    admit.Action
+	}{
+		{name: "a free slot", running: []time.Duration{long}, ticket: rankedTicket(9, 0, short), want: admit.Start},
+		{name: "all slots in use", running: []time.Duration{long, long}, ticket: rankedTicket(9, 0, short), want: admit.Refuse},
+		{name: "a nested ticket behind long work", running: []time.Duration{long, long}, ticket: nested(rankedTicket(9, 2, short)), want: admit.Start},
+		{name: "a nested ticket behind short work", running: []time.Duration{short, short}, ticket: nested(rankedTicket(9, 2, short)), want: admit.Refuse},
+		{name: "a nested ticket when its slot is in use too", running: []time.Duration{long, long, short}, ticket: nested(rankedTicket(9, 2, short)), want: admit.Refuse},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			gate := newGateWithNestedSlot(slots)
+			for i, target := range test.running {
+				gate.Arrive(rankedNow, nested(rankedTicket(uint64(i+1), 2, target)))
+			}
+			qt.Assert(t, gate.Report().InFlight, qt.Equals, len(test.running))
+			qt.Assert(t, gate.Arrive(rankedNow, test.ticket).Action, qt.Equals, test.want)
+		})
+	}
+}
+
+// newGateWithNestedSlot returns a gate with one slot besides the given ones for nested tickets.
+func newGateWithNestedSlot(slots int) *admit.Gate[*admit.Ranked] {
+	gate := admit.New(slots, admit.NewRanked(func() time.Time { return rankedNow }))
+	gate.SetLimits(rankedNow, slots, map[model.Customer]model.Limits{"any": {Weight: 1, Queue: 4, LongSlots: 1}})
+	gate.SetNested(rankedNow, slots+1)
+	return gate
+}
+
+// TestNestedTicketTakesTheSlotThatIsFreed checks which of two waiting tickets starts when a slot is freed.
+func TestNestedTicketTakesTheSlotThatIsFreed(t *testing.T) {
+	gate := newGateWithNestedSlot(1)
+	forced := func(ticket admit.Ticket) admit.Ticket {
+		ticket.Forced = true
+		return ticket
+	}
+	gate.Arrive(rankedNow, rankedTicket(1, 2, 5*time.Second))
+	gate.Arrive(rankedNow, nested(rankedTicket(2, 2, 500*time.Millisecond)))
+	qt.Assert(t, gate.Report().InFlight, qt.Equals, 2)
+	qt.Assert(t, gate.Arrive(rankedNow, forced(rankedTicket(3, 0, 9*time.Second))).Action, qt.Equals, admit.Wait)
+	qt.Assert(t, gate.Arrive(rankedNow, forced(nested(rankedTicket(4, 2, 9*time.Second)))).Action, qt.Equals, admit.Wait)
+	qt.Assert(t, gate.Finish(rankedNow, 2), qt.HasLen, 0)
+	qt.Assert(t, gate.Finish(rankedNow, 1), qt.DeepEquals, []admit.Decision{{Ticket: 4, Action: admit.Start}})
+	qt.Assert(t, gate.Finish(rankedNow, 4), qt.DeepEquals, []admit.Decision{{Ticket: 3, Action: admit.Start}})
+}
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -110,7 +110,7 @@
 	// Upstream and Incarnation identify the reporting gate.
 	Upstream    UpstreamName `json:"upstream"`
 	Incarnation Incarnation  `json:"incarnation"`
-	// InFlight is the number of slots in use, from 0 to Slots.
+	// InFlight is the number of slots in use, from 0 to Slots, or above by those kept for nested calls.
 	InFlight int `json:"in_flight"`
 	// Queued is the number of waiting requests.
 	Queued int `json:"queued"`
--- a/core/traffic/hold/hold.go
+++ b/core/traffic/hold/hold.go
@@ -248,8 +248,14 @@
 	g.wake(g.gate.SetLimits(now, slots, snapshot.Limits))
 	g.limiter.SetMaxLimit(slots)
 	g.resize(now, g.limiter.Slots())
+	g.wake(g.gate.SetNested(now, nestedSlots(slots, snapshot.Slots)))
 }
 
+// nestedSlots returns how many of an upstream's slots the gate uses if the last one is for a nested call. Of the slots
+// that it keeps free, one is enough: a nested call is short against the work that waits for it, and the more slots are
+// in use the slower the upstream gets.
+func nestedSlots(usable, published int) int { return min(usable+1, max(usable, published)) }
+
 // nearlyFullFactor is how many times longer work takes on an upstream with nearly all slots in use.
 const nearlyFullFactor = 1.7
 
