--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -13,11 +13,13 @@
 	"comfreytack/cftd/relay"
 	"comfreytack/cftd/talk"
 	"comfreytack/core/command/uplink"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/model"
 	"comfreytack/core/query/pace"
 	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/traffic/idle"
+	"comfreytack/core/traffic/stale"
 	"comfreytack/core/wire"
 )
 
@@ -39,6 +41,8 @@
 	Meter *meter.Meter
 	// Pace reports how long work takes on the upstream's machine now.
 	Pace *health.Pace
+	// Warmth limits the requests to the upstream while it is cold.
+	Warmth *warm.Limiter
 	// Flight tracks the requests that run on the upstream.
 	Flight *flight.Tracker
 	// Work counts the calls that wait or run here.
@@ -61,6 +65,8 @@
 type Gate[H Holder, D talk.Dialect] struct {
 	settings Settings[D]
 	hold     H
+	// stale remembers that the upstream is not the listed instance.
+	stale stale.Memory
 }
 
 // New returns a gate.
@@ -78,6 +84,10 @@
 		g.settings.Work.Leave()
 		return nil, failure
 	}
+	if call.Fingerprint == 0 && call.Prefix != 0 {
+		request.Tail = relay.NewTail(call.Prefix, request.Body.Length)
+		run.Watch(request.Tail.Fingerprint)
+	}
 	run.Start()
 	g.settings.Meter.Wait(call, slot.Waited)
 	answer, failure := g.roundTrip(ctx, call, request)
@@ -117,6 +127,9 @@
 func (g *Gate[H, D]) enter(ctx context.Context, call model.Call) (*flight.Run, hold.Slot, *model.Failure) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(-refusalLead))
 	defer cancel()
+	if g.stale.Refuses(g.settings.Now(), g.self(), call.Instance) {
+		return nil, hold.Slot{}, talk.Refuse(model.InstanceStale)
+	}
 	run, failure := g.settings.Flight.Begin(ctx, call)
 	if failure != nil {
 		return nil, hold.Slot{}, failure
@@ -130,6 +143,9 @@
 	if failure == nil {
 		failure = g.waitOutSlowdown(ctx, call, slot)
 	}
+	if failure == nil {
+		g.readWarmth(ctx)
+	}
 	if failure != nil {
 		run.End(failure)
 		return nil, hold.Slot{}, failure
@@ -163,6 +179,20 @@
 	}
 }
 
+// maxWarmthReads is enough for a reading that is asked for after the call has got its slot: the first may join one that
+// was asked for before.
+const maxWarmthReads = 2
+
+// readWarmth asks the upstream whether it is cold, if the decision on the next send needs to know.
+func (g *Gate[H, D]) readWarmth(ctx context.Context) {
+	for range maxWarmthReads {
+		if !g.settings.Warmth.Unsure(g.settings.Now()) {
+			return
+		}
+		g.settings.Pace.Refresh(ctx)
+	}
+}
+
 // roundTrip sends the request to the upstream, checks its answer and records the pace that the answer reports.
 func (g *Gate[H, D]) roundTrip(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	request.Address = g.settings.Upstream
@@ -171,7 +201,7 @@
 	request.AllowCloseDelimited = g.settings.Dialect.AllowCloseDelimited()
 	var refusal atomic.Pointer[model.Failure]
 	request.Confirm = func() *model.Failure {
-		failure := g.hold.Confirm(ctx, call)
+		failure := g.confirm(ctx, call)
 		refusal.Store(failure)
 		return failure
 	}
@@ -179,6 +209,9 @@
 		return g.settings.Dialect.CheckAnswer(call, g.settings.Snapshot().Services[call.Service], answer)
 	}
 	answer, failure := relay.RoundTrip(ctx, g.settings.Transport, request, model.UpstreamDied)
+	if failure != nil {
+		g.stale.Learn(g.settings.Now(), g.self(), call.Instance, failure.Reason)
+	}
 	if failure != nil && failure == refusal.Load() {
 		g.settings.Meter.Decision(call, failure.Reason)
 		g.logDecision(call, hold.Slot{}, failure)
@@ -193,6 +226,16 @@
 	return answer, nil
 }
 
+// confirm is the last decision before a send.
+func (g *Gate[H, D]) confirm(ctx context.Context, call model.Call) *model.Failure {
+	if g.stale.Refuses(g.settings.Now(), g.self(), call.Instance) {
+		return talk.Refuse(model.InstanceStale)
+	}
+	return g.hold.Confirm(ctx, call)
+}
+
+func (g *Gate[H, D]) self() model.UpstreamName { return g.settings.Snapshot().Self.Name }
+
 // truncationFailure returns a failure when the upstream broke off its answer, and nil when the answer was complete or
 // the caller gave up first.
 func truncationFailure(ctx context.Context, body *relay.TrackedBody) *model.Failure {
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -31,6 +31,7 @@
 	"comfreytack/core/command/prior"
 	"comfreytack/core/command/probe"
 	"comfreytack/core/command/uplink"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/query/route"
@@ -62,6 +63,8 @@
 	keysPerCustomer        = 1024
 	answerBytesPerCustomer = 128 << 10
 	answerLifetime         = 10 * time.Minute
+	// spoolBytes bounds the memory for bodies that are read before they are sent, because they may crash upstreams.
+	spoolBytes = 8 << 20
 )
 
 // parts has what Serve starts and stops: the handlers of the HTTP ports and the functions of the other components.
@@ -99,6 +102,8 @@
 	probeBudget   *probe.Budget
 	// uplink shares the machine's link among the answers of the gate.
 	uplink *uplink.Link
+	// warmth limits the requests to the upstream while it is cold.
+	warmth *warm.Limiter
 	// stopper stops the daemon.
 	stopper *stopper
 }
@@ -123,6 +128,7 @@
 		loads:         load.New(self, load.DefaultSettings()),
 		probeBudget:   probe.New(time.Now(), probe.DefaultSettings()),
 		uplink:        uplink.New(settings.Limits.BandwidthMbps),
+		warmth:        warm.New(time.Now()),
 		stopper:       stopper,
 	}
 	plane.registerMetrics(deps.meter)
@@ -167,6 +173,17 @@
 }
 
 func buildGate[Q admit.Discipline, L adapt.Policy, D talk.Dialect](deps dependencies[D], discipline Q, limiter L) (*parts, error) {
+	holder := hold.New(hold.Settings{
+		Snapshot:    deps.control.Snapshot,
+		Now:         time.Now,
+		Suspended:   deps.suspended,
+		UsableShare: deps.front.UsableShare,
+		Warmth:      deps.warmth,
+		Classifier:  learn.New(deps.control.Snapshot, class.New(maxLearntRoutes)),
+	}, admit.New(initialSlots, discipline), adapt.New(1, initialSlots, limiter))
+	watch := &upstreamWatch{address: deps.settings.Upstream, warmth: deps.warmth, refuseWaiting: holder.RefuseWaiting, now: time.Now, log: deps.log}
+	deps.plane.watchers = append(deps.plane.watchers, watch.changed)
+	watch.registerMetrics(deps.meter, deps.control.Snapshot)
 	localGate := gate.New(gate.Settings[D]{
 		Dialect:   deps.front.Dialect,
 		Upstream:  deps.settings.Upstream,
@@ -176,6 +193,7 @@
 		Log:       deps.log,
 		Meter:     deps.meter,
 		Pace:      newPace(deps),
+		Warmth:    deps.warmth,
 		Work:      &deps.stopper.work,
 		Uplink:    deps.uplink,
 		Flight: flight.New(flight.Settings{
@@ -183,17 +201,11 @@
 			Detector:        deps.detector,
 			DetectorChanged: func() { deps.control.Post(daemon.CrashSeen{}) },
 			Now:             time.Now,
-			Down:            func() bool { return relay.RefusesConnections(deps.settings.Upstream) },
+			Down:            watch.down,
 
 			RecheckDelay: downRecheckInterval,
 		}),
-	}, hold.New(hold.Settings{
-		Snapshot:    deps.control.Snapshot,
-		Now:         time.Now,
-		Suspended:   deps.suspended,
-		UsableShare: deps.front.UsableShare,
-		Classifier:  learn.New(deps.control.Snapshot, class.New(maxLearntRoutes)),
-	}, admit.New(initialSlots, discipline), adapt.New(1, initialSlots, limiter)))
+	}, holder)
 	sendCall, err := buildSend(deps)
 	if err != nil {
 		return nil, err
@@ -218,6 +230,8 @@
 		UsedTime:   prior.New(),
 		Log:        deps.log,
 		IssuesKeys: deps.front.IssuesKeys,
+		Suspected:  func(prefix model.Fingerprint) bool { return deps.detector.Suspected(time.Now(), prefix) },
+		Spool:      relay.NewSpool(spoolBytes),
 		Meter:      deps.meter,
 	})
 	return &parts{
@@ -239,6 +253,9 @@
 		Timeout:  health.PaceTimeout,
 		Percent:  deps.front.Dialect.PacePercent,
 		Now:      time.Now,
+
+		WarmupLeft: deps.front.Dialect.WarmupLeft,
+		Warmth:     deps.warmth,
 	})
 }
 
--- a/core/command/config/config.go
+++ b/core/command/config/config.go
@@ -60,6 +60,8 @@
 	// Instances has the upstreams that are published one by one, and Documents the document, if there is one.
 	Instances *Table[model.InstanceID, model.Upstream]
 	Documents *Table[string, model.Document]
+	// Evacuations has the failure domains that are evacuated.
+	Evacuations *Table[model.FailureDomain, model.Evacuation]
 	// Late has the newest entry of an instance that is older than the one in force, and not in force for that reason.
 	Late map[model.InstanceID]Entry[model.Upstream]
 	// Refusals says by key why the newest value is not in force; at most maxRefusals.
@@ -79,7 +81,9 @@
 		Documents: NewTable[string, model.Document](),
 		Late:      map[model.InstanceID]Entry[model.Upstream]{},
 		Refusals:  map[string]model.Refusal{},
-		Recent:    Recent{MaxBytes: maxRecentBytes, MaxChanges: maxRecentChanges},
+
+		Evacuations: NewTable[model.FailureDomain, model.Evacuation](),
+		Recent:      Recent{MaxBytes: maxRecentBytes, MaxChanges: maxRecentChanges},
 	}
 }
 
@@ -107,7 +111,7 @@
 
 // hash changes with every value in force.
 func (s *Store) hash() uint64 {
-	return s.Contracts.Hash ^ s.Services.Hash ^ s.Marks.Hash ^ s.Instances.Hash ^ s.Documents.Hash
+	return s.Contracts.Hash ^ s.Services.Hash ^ s.Marks.Hash ^ s.Instances.Hash ^ s.Documents.Hash ^ s.Evacuations.Hash
 }
 
 // Since returns the changes after a revision, or false if they are no longer known and a full copy is needed.
@@ -140,6 +144,9 @@
 		s.updateRefusal(change, setEntry(s.Marks, name, change, check.Mark))
 	case strings.HasPrefix(change.Key, check.InstancePrefix):
 		s.setInstance(change)
+	case strings.HasPrefix(change.Key, check.EvacuationPrefix):
+		domain := model.FailureDomain(strings.TrimPrefix(change.Key, check.EvacuationPrefix))
+		s.updateRefusal(change, setEntry(s.Evacuations, domain, change, check.Evacuation))
 	case change.Key == check.DocumentKey:
 		s.setDocument(change)
 	default:
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -55,8 +55,11 @@
 	RunUntil time.Time
 	// Suspect marks an attempt made after an upstream died while it ran this call.
 	Suspect bool
-	// Fingerprint is zero when the body was too large to hash.
+	// Fingerprint identifies requests that are the same in customer, method, path and body; zero while the body is not
+	// known to its end.
 	Fingerprint Fingerprint
+	// Prefix identifies requests whose long bodies begin alike; zero for a short body.
+	Prefix Fingerprint
 }
 
 // RunDeadline returns when a started run is aborted.
@@ -123,6 +126,12 @@
 	// PacePercent is the upstream's pace: how long work takes on its machine now as a percentage of the usual time.
 	// Zero when the upstream does not report it.
 	PacePercent int `json:"pace_percent,omitempty"`
+	// ColdMs is how much longer the upstream is cold, in ms; zero when it is warm or has no limit for that time.
+	ColdMs int `json:"cold_ms,omitempty"`
+	// ColdRoom is how many requests the cold upstream takes now, and ColdWaitMs when it takes one more, in ms; zero when
+	// ColdRoom is positive.
+	ColdRoom   int `json:"cold_room,omitempty"`
+	ColdWaitMs int `json:"cold_wait_ms,omitempty"`
 	// Leaving is true when the gate accepts no new work.
 	Leaving bool `json:"leaving"`
 	// Revision is the configuration in force at the gate.
--- a/core/traffic/flight/flight.go
+++ b/core/traffic/flight/flight.go
@@ -3,12 +3,11 @@
 package flight
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
 
-	mapset "github.com/deckarep/golang-set/v2"
-
 	"comfreytack/core/command/poison"
 	"comfreytack/core/model"
 )
@@ -67,7 +66,11 @@
 	id          string
 	rank        int
 	fingerprint model.Fingerprint
-	alone       bool
+	prefix      model.Fingerprint
+	// streamed returns the fingerprint of a body that is hashed while it is sent, or zero before its end; nil for other
+	// bodies.
+	streamed func() model.Fingerprint
+	alone    bool
 	// startedAt is when the request went to the upstream; zero while it waits.
 	startedAt time.Time
 }
@@ -90,17 +93,19 @@
 }
 
 // Begin admits a request, or refuses it with verdict NotRun. A suspect waits until no other suspect runs on
-// this upstream. End must be called once on the returned run.
+// this upstream. A request whose body is not known to its end is judged by its prefix. End must be called once on the
+// returned run.
 func (t *Tracker) Begin(ctx context.Context, call model.Call) (*Run, *model.Failure) {
 	for {
 		aloneEnded := t.aloneEndedChan()
-		switch t.settings.Detector.Begin(t.settings.Now(), call.Fingerprint, call.Suspect && call.Fingerprint != 0) {
+		judged := cmp.Or(call.Fingerprint, call.Prefix)
+		switch t.settings.Detector.Begin(t.settings.Now(), judged, call.Suspect && judged != 0) {
 		case poison.Barred:
 			return nil, &model.Failure{Verdict: model.NotRun, Reason: model.Quarantined}
 		case poison.Free:
-			return &Run{tracker: t, id: call.ID, rank: call.Rank, fingerprint: call.Fingerprint}, nil
+			return t.newRun(call, false), nil
 		case poison.Alone:
-			return &Run{tracker: t, id: call.ID, rank: call.Rank, fingerprint: call.Fingerprint, alone: true}, nil
+			return t.newRun(call, true), nil
 		case poison.Busy:
 		}
 		select {
@@ -111,6 +116,22 @@
 	}
 }
 
+func (t *Tracker) newRun(call model.Call, alone bool) *Run {
+	return &Run{tracker: t, id: call.ID, rank: call.Rank, fingerprint: call.Fingerprint, prefix: call.Prefix, alone: alone}
+}
+
+// Watch sets the function that returns the fingerprint of a streamed body, or zero before its end has been read. It is
+// called before Start.
+func (r *Run) Watch(streamed func() model.Fingerprint) { r.streamed = streamed }
+
+// whole returns the fingerprint of the request, or zero when its body is not known to its end.
+func (r *Run) whole() model.Fingerprint {
+	if r.streamed == nil {
+		return r.fingerprint
+	}
+	return r.streamed()
+}
+
 // Start records that the request is being sent to the upstream now.
 func (r *Run) Start() {
 	t := r.tracker
@@ -129,12 +150,13 @@
 	return found.rank, running
 }
 
-// End records how the request ended: with a complete answer if failure is nil.
+// End records how the request ended: with a complete answer if failure is nil. That clears the request, but not its
+// prefix, which others share.
 func (r *Run) End(failure *model.Failure) {
 	t := r.tracker
 	t.finish(r, failure)
 	if failure == nil {
-		t.settings.Detector.Succeeded(r.fingerprint)
+		t.settings.Detector.Succeeded(r.whole())
 	}
 	if r.alone {
 		t.settings.Detector.EndAlone()
@@ -182,9 +204,9 @@
 	t.settings.DetectorChanged()
 }
 
-// recordCrash returns the incarnation that crashed and the fingerprints in flight at the crash. A broken request
+// recordCrash returns the incarnation that crashed and the requests in flight at the crash. A broken request
 // that started after the last crash means that the upstream had restarted in between, so this is a new crash.
-func (t *Tracker) recordCrash(startedAt, brokenAt time.Time) (model.Incarnation, []model.Fingerprint) {
+func (t *Tracker) recordCrash(startedAt, brokenAt time.Time) (model.Incarnation, []poison.Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if startedAt.After(t.crashedAt) {
@@ -204,19 +226,35 @@
 	return t.broken
 }
 
-// suspects returns the fingerprints in flight at the last crash. The caller holds the lock.
-func (t *Tracker) suspects() []model.Fingerprint {
-	suspects := mapset.NewThreadUnsafeSet[model.Fingerprint]()
+// suspects returns the requests in flight at the last crash. Of those with the same fingerprint it returns the one that
+// was sent last. The caller holds the lock.
+func (t *Tracker) suspects() []poison.Run {
+	started := map[model.Fingerprint]time.Time{}
+	add := func(r *Run) {
+		startedAt := r.startedAt
+		if r.alone {
+			// A suspect was sent after an earlier crash.
+			startedAt = t.crashedAt
+		}
+		for _, fingerprint := range []model.Fingerprint{r.whole(), r.prefix} {
+			if fingerprint != 0 && !startedAt.Before(started[fingerprint]) {
+				started[fingerprint] = startedAt
+			}
+		}
+	}
 	for r := range t.running {
-		suspects.Add(r.fingerprint)
+		add(r)
 	}
 	for _, b := range t.broken {
 		if b.run.startedAt.After(t.previousCrashAt) {
-			suspects.Add(b.run.fingerprint)
+			add(b.run)
 		}
 	}
-	suspects.Remove(0)
-	return suspects.ToSlice()
+	suspects := make([]poison.Run, 0, len(started))
+	for fingerprint, startedAt := range started {
+		suspects = append(suspects, poison.Run{Fingerprint: fingerprint, StartedAt: startedAt})
+	}
+	return suspects
 }
 
 func (t *Tracker) aloneEndedChan() chan struct{} {
