Let a deployment say how many requests a cold upstream may get in any second

Cause: at full size 8 cold servers of one service got 96 requests a second where about twice as many came, although the platform allows 26 a server and second: 153 calls and 33 nested ones were refused in two seconds after all machines had lost power. Ruled out: a higher rate by default (a service that states its tolerance without bounds gets no more than that and a burst). The limiter's rate is the overshoot times the tolerated rate, its burst half of the tolerance; the other half is left for requests that take differently long.

--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -128,7 +128,7 @@
 		loads:         load.New(self, load.DefaultSettings()),
 		probeBudget:   probe.New(time.Now(), probe.DefaultSettings()),
 		uplink:        uplink.New(settings.Limits.BandwidthMbps),
-		warmth:        warm.New(time.Now()),
+		warmth:        warm.New(time.Now(), warm.Bounds(settings.Warmup)),
 		stopper:       stopper,
 	}
 	plane.registerMetrics(deps.meter)
--- a/cftd/start/upstream.go
+++ b/cftd/start/upstream.go
@@ -15,7 +15,7 @@
 // the control goroutine uses it.
 type upstreamWatch struct {
 	address model.Address
-	warmth *warm.Limiter
+	warmth  *warm.Limiter
 	// refuseWaiting refuses the calls that wait for the upstream.
 	refuseWaiting func(model.Reason)
 	now           func() time.Time
--- a/core/command/warm/warm.go
+++ b/core/command/warm/warm.go
@@ -1,7 +1,6 @@
 // Package warm limits the requests that a gate sends to its upstream while the upstream is cold.
 //
-// A cold upstream gets at most the rate that it tolerates, and a burst of half a second's requests beyond it. It does so
-// from the moment at which it turns cold, because every send takes from the burst, and only a reading that shows the
+// A cold upstream gets at most a rate and a burst beyond it (Bounds). It does so from the moment at which it turns cold, because every send takes from the burst, and only a reading that shows the
 // upstream to be warm gives back what was taken before that reading was asked for:
 //
 //	tolerated 2 a second, burst 1, read warm at 0 ms, sent at 10 ms, next at 40 ms  ->  Read: it may have turned cold at 1 ms
@@ -22,8 +21,13 @@
 )
 
 const (
-	// burstShare is the burst as a share of the requests that the upstream tolerates in a second.
+	// burstShare is the burst as a share of the requests that the upstream tolerates in a second, where no tolerance is set.
 	burstShare = 0.5
+	// usedTolerance is the share of a tolerance that is used for the burst. The rest is for requests that take differently
+	// long on their way to the upstream.
+	usedTolerance = 0.5
+	// minRate is the lowest rate, so that a cold upstream gets a request at all.
+	minRate = 0.1
 	// nestedShare is the share of the burst that only nested calls may use, while there are any.
 	nestedShare = 0.5
 	// prefetchShare is the share of the burst below which a reading is asked for in advance.
@@ -34,6 +38,28 @@
 	maxSends = 1024
 )
 
+// Bounds say how many requests a cold upstream may get in any second: Overshoot times what it tolerates a second, and
+// Tolerance more. Without them that is half as much again as it tolerates.
+type Bounds struct {
+	// Overshoot is at least 1, or zero when no bounds are set.
+	Overshoot float64
+	// Tolerance is not negative.
+	Tolerance float64
+}
+
+// rate returns how many requests a second a cold upstream gets that tolerates the given number, and the burst. In any
+// second it gets at most their sum.
+//
+//	12 a second, no bounds               -> 12 a second, burst 6
+//	12 a second, overshoot 1.5, tolerance 8 -> 18 a second, burst 4
+func (b Bounds) rate(perS float64) (rate, burst float64) {
+	if b.Overshoot == 0 {
+		return perS, max(1, perS*burstShare)
+	}
+	burst = max(1, b.Tolerance*usedTolerance)
+	return max(minRate, min(b.Overshoot*perS, b.Overshoot*perS+b.Tolerance-burst)), burst
+}
+
 // Action is what the gate does with a call that is about to be sent.
 type Action int
 
@@ -66,9 +92,13 @@
 
 // Limiter counts the sends of one gate.
 type Limiter struct {
+	// bounds never change.
+	bounds Bounds
+
 	mu sync.Mutex
-	// perS is the rate that the upstream tolerates while it is cold; zero when there is no limit.
-	perS float64
+	// perS is the rate that the upstream tolerates while it is cold; zero when there is no limit. The rate and the burst
+	// follow from it.
+	perS, rate, burst float64
 	// tokens is how many requests could be sent at the time of refilledAt; from 0 to burst. A gate that has just started
 	// has none: its predecessor may have used them.
 	tokens     float64
@@ -87,8 +117,8 @@
 }
 
 // New returns the limiter of a gate that has just started.
-func New(now time.Time) *Limiter {
-	return &Limiter{refilledAt: now}
+func New(now time.Time, bounds Bounds) *Limiter {
+	return &Limiter{bounds: bounds, refilledAt: now}
 }
 
 // Listed observes the upstream's entry and its service, whenever they may have changed. The end of the cold that an
@@ -179,7 +209,7 @@
 		return false
 	}
 	l.refill(now)
-	return l.tokens < min(l.burst(), 1+math.Floor(l.burst()*share))
+	return l.tokens < min(l.burst, 1+math.Floor(l.burst*share))
 }
 
 // State describes the limiter now, as calls that are not nested see it.
@@ -194,20 +224,17 @@
 	return State{Left: l.coldUntil.Sub(now), Room: max(0, int(l.tokens-reserved)), Wait: max(0, l.wait(1+reserved))}
 }
 
-// burst is the largest number of requests that may be sent at once.
-func (l *Limiter) burst() float64 { return max(1, l.perS*burstShare) }
-
 // reserved returns the tokens that a call leaves to nested ones.
 func (l *Limiter) reserved(now time.Time, nested bool) float64 {
 	if nested || now.Sub(l.nestedAt) >= nestedMemory {
 		return 0
 	}
-	return math.Floor(l.burst() * nestedShare)
+	return math.Floor(l.burst * nestedShare)
 }
 
 // wait returns how long until there are as many tokens as needed; not positive when there are. The caller holds the lock.
 func (l *Limiter) wait(needed float64) time.Duration {
-	return time.Duration(math.Ceil((needed - l.tokens) / l.perS * float64(time.Second)))
+	return time.Duration(math.Ceil((needed - l.tokens) / l.rate * float64(time.Second)))
 }
 
 // refill adds the tokens of the time that has passed. The caller holds the lock.
@@ -216,7 +243,7 @@
 	if passed <= 0 {
 		return
 	}
-	l.tokens = min(l.burst(), l.tokens+l.perS*passed.Seconds())
+	l.tokens = min(l.burst, l.tokens+l.rate*passed.Seconds())
 	l.refilledAt = now
 }
 
@@ -232,7 +259,7 @@
 			since++
 		}
 	}
-	l.tokens = max(l.tokens, l.burst()-float64(since))
+	l.tokens = max(l.tokens, l.burst-float64(since))
 }
 
 // extend moves the end of the cold to a later time. The caller holds the lock.
@@ -252,7 +279,8 @@
 		l.refilledAt = l.lastSentAt
 	}
 	l.perS = perS
+	l.rate, l.burst = l.bounds.rate(perS)
 	l.tokens = 0
 	l.next = 0
-	l.sends = make([]time.Time, min(maxSends, int(math.Ceil(perS+l.burst()))))
+	l.sends = make([]time.Time, min(maxSends, int(math.Ceil(l.rate+l.burst))))
 }
--- a/core/setup/setup.go
+++ b/core/setup/setup.go
@@ -22,6 +22,9 @@
 	minDescriptors     = 256
 	maxDescriptors     = 1 << 20
 	maxBandwidthMbps   = 10_000_000
+
+	maxOvershoot = 100
+	maxTolerance = 10_000
 )
 
 // Settings configures one daemon at its start. No setting changes a customer's limits.
@@ -53,6 +56,8 @@
 	// RetryShare is the largest share of a service's calls that all daemons together may send once more, from 0 to 1; zero
 	// means as the customers' contracts say.
 	RetryShare float64 `json:"retry_share,omitzero"`
+	// Warmup bounds how far a cold upstream may get more than it tolerates; its zero value sets no bounds.
+	Warmup Warmup `json:"warmup,omitzero"`
 	// Log configures the log output.
 	Log Log `json:"log,omitempty"`
 }
@@ -67,6 +72,14 @@
 	BandwidthMbps float64 `json:"bandwidth_mbps,omitzero"`
 }
 
+// Warmup says how many requests a cold upstream may get in any second.
+type Warmup struct {
+	// Overshoot multiplies what the upstream tolerates a second; from 1 to 100, or zero when no bounds are set.
+	Overshoot float64 `json:"overshoot"`
+	// Tolerance is added to that; from 0 to 10000.
+	Tolerance float64 `json:"tolerance"`
+}
+
 // Log configures the log output.
 type Log struct {
 	// Format is "text" or "json"; empty means text.
@@ -93,7 +106,7 @@
 	settings.Limits.MemoryMB = cmp.Or(settings.Limits.MemoryMB, defaultMemoryMB)
 	settings.Limits.Descriptors = cmp.Or(settings.Limits.Descriptors, defaultDescriptors)
 	for _, check := range []func(Settings) (field, found, allowed string){
-		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLimits, checkRetries, checkLog,
+		checkNames, checkListeners, checkTargets, checkCalls, checkStop, checkLimits, checkRetries, checkWarmup, checkLog,
 	} {
 		if field, found, allowed := check(settings); field != "" {
 			return Settings{}, strict.FaultAt(file, data, field, found, allowed)
@@ -201,6 +214,17 @@
 	return "", "", ""
 }
 
+func checkWarmup(s Settings) (field, found, allowed string) {
+	w := s.Warmup
+	if w.Overshoot != 0 && (w.Overshoot < 1 || w.Overshoot > maxOvershoot) {
+		return "warmup.overshoot", strconv.FormatFloat(w.Overshoot, 'g', -1, 64), fmt.Sprintf("0, or 1 to %d", maxOvershoot)
+	}
+	if w.Tolerance < 0 || w.Tolerance > maxTolerance {
+		return "warmup.tolerance", strconv.FormatFloat(w.Tolerance, 'g', -1, 64), fmt.Sprintf("0 to %d", maxTolerance)
+	}
+	return "", "", ""
+}
+
 func checkLog(s Settings) (field, found, allowed string) {
 	switch s.Log.Format {
 	case "", "text", "json":
