--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -13,6 +13,7 @@
 	"comfreytack/cftd/relay"
 	"comfreytack/cftd/talk"
 	"comfreytack/core/command/uplink"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/model"
 	"comfreytack/core/query/pace"
 	"comfreytack/core/traffic/flight"
@@ -40,6 +41,8 @@
 	Meter *meter.Meter
 	// Pace reports how long work takes on the upstream's machine now.
 	Pace *health.Pace
+	// Warmth limits the requests to the upstream while it is cold.
+	Warmth *warm.Limiter
 	// Flight tracks the requests that run on the upstream.
 	Flight *flight.Tracker
 	// Work counts the calls that wait or run here.
@@ -140,6 +143,9 @@
 	if failure == nil {
 		failure = g.waitOutSlowdown(ctx, call, slot)
 	}
+	if failure == nil {
+		g.readWarmth(ctx)
+	}
 	if failure != nil {
 		run.End(failure)
 		return nil, hold.Slot{}, failure
@@ -173,6 +179,20 @@
 	}
 }
 
+// maxWarmthReads is enough for a reading that is asked for after the call has got its slot: the first may join one that
+// was asked for before.
+const maxWarmthReads = 2
+
+// readWarmth asks the upstream whether it is cold, if the decision on the next send needs to know.
+func (g *Gate[H, D]) readWarmth(ctx context.Context) {
+	for range maxWarmthReads {
+		if !g.settings.Warmth.Unsure(g.settings.Now()) {
+			return
+		}
+		g.settings.Pace.Refresh(ctx)
+	}
+}
+
 // roundTrip sends the request to the upstream, checks its answer and records the pace that the answer reports.
 func (g *Gate[H, D]) roundTrip(ctx context.Context, call model.Call, request relay.Request) (*http.Response, *model.Failure) {
 	request.Address = g.settings.Upstream
@@ -189,14 +209,14 @@
 		return g.settings.Dialect.CheckAnswer(call, g.settings.Snapshot().Services[call.Service], answer)
 	}
 	answer, failure := relay.RoundTrip(ctx, g.settings.Transport, request, model.UpstreamDied)
-	if failure != nil {
-		g.stale.Learn(g.settings.Now(), g.self(), call.Instance, failure.Reason)
-	}
-	if failure != nil && failure == refusal.Load() {
+	switch {
+	case failure == nil:
+	case failure == refusal.Load():
 		g.settings.Meter.Decision(call, failure.Reason)
 		g.logDecision(call, hold.Slot{}, failure)
-	}
-	if failure != nil {
+		return nil, failure
+	default:
+		g.stale.Learn(g.settings.Now(), g.self(), call.Instance, failure.Reason)
 		return nil, failure
 	}
 	if percent := g.settings.Dialect.PacePercent(answer.Header); percent > 0 {
--- a/cftd/meter/meter.go
+++ b/cftd/meter/meter.go
@@ -99,8 +99,8 @@
 	m.Registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(read()) }))
 }
 
-// WatchNow registers a gauge whose value is read by the function whenever metrics are gathered.
-func (m *Meter) WatchNow(name, help string, read func() float64) {
+// WatchLevel registers a gauge whose value is read by the function whenever metrics are gathered.
+func (m *Meter) WatchLevel(name, help string, read func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -32,6 +32,7 @@
 	"comfreytack/core/command/prior"
 	"comfreytack/core/command/probe"
 	"comfreytack/core/command/uplink"
+	"comfreytack/core/command/warm"
 	"comfreytack/core/loop"
 	"comfreytack/core/model"
 	"comfreytack/core/query/route"
@@ -103,6 +104,8 @@
 	budget *intake.Budget
 	// uplink shares the machine's link among the answers of the gate.
 	uplink *uplink.Link
+	// warmth limits the requests to the upstream while it is cold.
+	warmth *warm.Limiter
 	// stopper stops the daemon.
 	stopper *stopper
 }
@@ -130,6 +133,7 @@
 		loads:         load.New(self, load.DefaultSettings()),
 		probeBudget:   probe.New(time.Now(), probe.DefaultSettings()),
 		uplink:        uplink.New(settings.Limits.BandwidthMbps),
+		warmth:        warm.New(time.Now(), warm.Bounds(settings.Warmup)),
 		stopper:       stopper,
 	}
 	plane.registerMetrics(deps.meter)
@@ -174,6 +178,17 @@
 }
 
 func buildGate[Q admit.Discipline, L adapt.Policy, D talk.Dialect](deps dependencies[D], discipline Q, limiter L) (*parts, error) {
+	holder := hold.New(hold.Settings{
+		Snapshot:    deps.control.Snapshot,
+		Now:         time.Now,
+		Suspended:   deps.suspended,
+		UsableShare: deps.front.UsableShare,
+		Warmth:      deps.warmth,
+		Classifier:  learn.New(deps.control.Snapshot, class.New(maxLearntRoutes)),
+	}, admit.New(initialSlots, discipline), adapt.New(1, initialSlots, limiter))
+	watch := &upstreamWatch{address: deps.settings.Upstream, warmth: deps.warmth, refuseWaiting: holder.RefuseWaiting, now: time.Now, log: deps.log}
+	deps.plane.watchers = append(deps.plane.watchers, watch.changed)
+	watch.registerMetrics(deps.meter, deps.control.Snapshot)
 	localGate := gate.New(gate.Settings[D]{
 		Dialect:   deps.front.Dialect,
 		Upstream:  deps.settings.Upstream,
@@ -183,6 +198,7 @@
 		Log:       deps.log,
 		Meter:     deps.meter,
 		Pace:      newPace(deps),
+		Warmth:    deps.warmth,
 		Work:      &deps.stopper.work,
 		Uplink:    deps.uplink,
 		Flight: flight.New(flight.Settings{
@@ -190,17 +206,11 @@
 			Detector:        deps.detector,
 			DetectorChanged: func() { deps.control.Post(daemon.CrashSeen{}) },
 			Now:             time.Now,
-			Down:            func() bool { return relay.RefusesConnections(deps.settings.Upstream) },
+			Down:            watch.down,
 
 			RecheckDelay: downRecheckInterval,
 		}),
-	}, hold.New(hold.Settings{
-		Snapshot:    deps.control.Snapshot,
-		Now:         time.Now,
-		Suspended:   deps.suspended,
-		UsableShare: deps.front.UsableShare,
-		Classifier:  learn.New(deps.control.Snapshot, class.New(maxLearntRoutes)),
-	}, admit.New(initialSlots, discipline), adapt.New(1, initialSlots, limiter)))
+	}, holder)
 	sendCall, err := buildSend(deps)
 	if err != nil {
 		return nil, err
@@ -231,9 +241,7 @@
 	})
 	operators := admin.Handler(admin.Settings{Snapshot: deps.control.Snapshot, LameDuck: deps.stopper.lameDuck.Load, Report: localGate.Report, Meter: deps.meter, Version: Version})
 	return &parts{
-		servers: []*intake.Server{
-			callersServer(deps, front), gateServer(deps, front.GateHandler(gate.Handler(localGate))), operatorsServer(deps, operators),
-		},
+		servers:    newServers(deps, front, front.GateHandler(gate.Handler(localGate)), operators),
 		control:    deps.plane.run,
 		probeGates: newProber(deps).Run,
 		refuse:     func() { deps.control.Post(daemon.StopRequested{}) },
@@ -249,6 +257,9 @@
 		Timeout:  health.PaceTimeout,
 		Percent:  deps.front.Dialect.PacePercent,
 		Now:      time.Now,
+
+		WarmupLeft: deps.front.Dialect.WarmupLeft,
+		Warmth:     deps.warmth,
 	})
 }
 
--- a/cftd/start/door.go
+++ b/cftd/start/door.go
@@ -33,17 +33,22 @@
 		Count: func(port, reason string) { metrics.Refused.WithLabelValues(port, reason).Inc() },
 		Log:   log,
 	})
-	metrics.WatchNow("comfreytack_intake_bytes", "Estimated memory held by accepted connections.", func() float64 {
+	metrics.WatchLevel("comfreytack_intake_bytes", "Estimated memory held by accepted connections.", func() float64 {
 		bytes, _ := budget.Used()
 		return float64(bytes)
 	})
-	metrics.WatchNow("comfreytack_intake_connections", "Accepted connections.", func() float64 {
+	metrics.WatchLevel("comfreytack_intake_connections", "Accepted connections.", func() float64 {
 		_, conns := budget.Used()
 		return float64(conns)
 	})
 	return budget
 }
 
+// newServers returns the servers of the callers', the gate's and the operators' port, in this order.
+func newServers[D talk.Dialect](deps dependencies[D], callers *entry.Entry[D], gate, operators http.Handler) []*intake.Server {
+	return []*intake.Server{callersServer(deps, callers), gateServer(deps, gate), operatorsServer(deps, operators)}
+}
+
 // callersServer returns the server of the callers' port.
 func callersServer[D talk.Dialect](deps dependencies[D], callers *entry.Entry[D]) *intake.Server {
 	return intake.New(intake.Settings{
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -113,7 +113,7 @@
 	// Upstream and Incarnation identify the reporting gate.
 	Upstream    UpstreamName `json:"upstream"`
 	Incarnation Incarnation  `json:"incarnation"`
-	// InFlight is the number of slots in use, from 0 to Slots.
+	// InFlight is the number of slots in use, from 0 to Slots, or above by those kept for nested calls.
 	InFlight int `json:"in_flight"`
 	// Queued is the number of waiting requests.
 	Queued int `json:"queued"`
@@ -126,6 +126,12 @@
 	// PacePercent is the upstream's pace: how long work takes on its machine now as a percentage of the usual time.
 	// Zero when the upstream does not report it.
 	PacePercent int `json:"pace_percent,omitempty"`
+	// ColdMs is how much longer the upstream is cold, in ms; zero when it is warm or has no limit for that time.
+	ColdMs int `json:"cold_ms,omitempty"`
+	// ColdRoom is how many requests the cold upstream takes now, and ColdWaitMs when it takes one more, in ms; zero when
+	// ColdRoom is positive.
+	ColdRoom   int `json:"cold_room,omitempty"`
+	ColdWaitMs int `json:"cold_wait_ms,omitempty"`
 	// Leaving is true when the gate accepts no new work.
 	Leaving bool `json:"leaving"`
 	// Revision is the configuration in force at the gate.
