--- a/cftd/peers/fuzz_test.go
+++ b/cftd/peers/fuzz_test.go
@@ -4,9 +4,14 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"log/slog"
+	"math"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"comfreytack/cftd/intake"
 )
 
 // FuzzFrames checks that no bytes of a peer make the codec panic or take more memory than was sent.
@@ -18,10 +23,14 @@
 	f.Add(binary.AppendUvarint(nil, MaxMessageBytes))
 	f.Add(bytes.Repeat([]byte{0xff}, 11))
 	f.Fuzz(func(t *testing.T, data []byte) {
+		budget := intake.NewBudget(intake.BudgetSettings{
+			Bytes: math.MaxInt64, Conns: 1, Now: time.Now, Count: func(string, string) {}, Log: slog.New(slog.DiscardHandler),
+		})
+		decoder := &codec{conn: &timedConn{}, account: budget.Open(portName, "", connBytes, func() {})}
 		stream := bufio.NewReader(bytes.NewReader(data))
 		for {
 			var request jsonrpc2.Request
-			if (codec{}).ReadObject(stream, &request) != nil {
+			if decoder.ReadObject(stream, &request) != nil {
 				return
 			}
 			if request.Params != nil && len(*request.Params) > len(data) {
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -16,6 +16,7 @@
 	"comfreytack/cftd/gate"
 	"comfreytack/cftd/health"
 	"comfreytack/cftd/home"
+	"comfreytack/cftd/intake"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/poll"
 	"comfreytack/cftd/relay"
@@ -67,11 +68,10 @@
 	spoolBytes = 8 << 20
 )
 
-// parts has what Serve starts and stops: the handlers of the HTTP ports and the functions of the other components.
+// parts has what Serve starts and stops: the servers of the HTTP ports and the functions of the other components.
 type parts struct {
-	callers   http.Handler
-	gate      http.Handler
-	operators http.Handler
+	// servers has those of the callers', the gate's and the operators' port, in this order.
+	servers []*intake.Server
 	// control runs the control plane until the context ends; the listener is the peer port.
 	control func(context.Context, net.Listener) error
 	// probeGates asks other daemons' gates for their load until the context ends.
@@ -100,6 +100,8 @@
 	gateTransport *http.Transport
 	loads         *load.Tracker
 	probeBudget   *probe.Budget
+	// budget bounds the memory and descriptors of accepted connections.
+	budget *intake.Budget
 	// uplink shares the machine's link among the answers of the gate.
 	uplink *uplink.Link
 	// warmth limits the requests to the upstream while it is cold.
@@ -112,7 +114,9 @@
 	self := selfUpstream(settings, time.Now())
 	detector := poison.New(poison.DefaultSettings())
 	suspended := clock.New().Suspended
-	plane := newControlPlane(front, settings, self, detector, suspended, log)
+	metrics := meter.New()
+	budget := newBudget(settings, metrics, log)
+	plane := newControlPlane(front, settings, self, detector, suspended, budget, log)
 	deps := dependencies[D]{
 		front:         front,
 		settings:      settings,
@@ -123,7 +127,8 @@
 		suspended:     suspended,
 		detector:      detector,
 		control:       plane.loop,
-		meter:         meter.New(),
+		meter:         metrics,
+		budget:        budget,
 		gateTransport: relay.NewTransport(gateConnections, gateIdleTimeout),
 		loads:         load.New(self, load.DefaultSettings()),
 		probeBudget:   probe.New(time.Now(), probe.DefaultSettings()),
@@ -234,10 +239,9 @@
 		Spool:      relay.NewSpool(spoolBytes),
 		Meter:      deps.meter,
 	})
+	operators := admin.Handler(admin.Settings{Snapshot: deps.control.Snapshot, LameDuck: deps.stopper.lameDuck.Load, Report: localGate.Report, Meter: deps.meter, Version: Version})
 	return &parts{
-		callers:    front.Handler(),
-		gate:       front.GateHandler(gate.Handler(localGate)),
-		operators:  admin.Handler(admin.Settings{Snapshot: deps.control.Snapshot, LameDuck: deps.stopper.lameDuck.Load, Report: localGate.Report, Meter: deps.meter, Version: Version}),
+		servers:    newServers(deps, front, front.GateHandler(gate.Handler(localGate)), operators),
 		control:    deps.plane.run,
 		probeGates: newProber(deps).Run,
 		refuse:     func() { deps.control.Post(daemon.StopRequested{}) },
--- a/core/query/route/cold.go
+++ b/core/query/route/cold.go
@@ -12,7 +12,7 @@
 
 // Cold reports whether the upstream is cold according to its gate's last report.
 func (c *Candidate) Cold(now time.Time) bool {
-	return now.Sub(c.ReportAt) < time.Duration(c.Report.ColdMs)*time.Millisecond
+	return c.Report.ColdMs > 0 && c.reportAge(now) < time.Duration(c.Report.ColdMs)*time.Millisecond
 }
 
 // ColdWait returns how long a cold upstream takes no further request, as far as its gate's last report and the calls sent
@@ -25,9 +25,12 @@
 	if c.Report.ColdRoom > 0 && c.InFlight-c.InFlightAtReport >= c.Report.ColdRoom {
 		wait = coldSpan
 	}
-	return max(0, wait-now.Sub(c.ReportAt))
+	return max(0, wait-c.reportAge(now))
 }
 
+// reportAge returns the age of the last report. One that arrived after the given time was read is new.
+func (c *Candidate) reportAge(now time.Time) time.Duration { return max(0, now.Sub(c.ReportAt)) }
+
 // WithoutFullCold removes the cold candidates that take no request now from the slice, in place. It also returns how
 // long until the first of them takes one; zero when none was removed.
 func WithoutFullCold(now time.Time, candidates []Candidate) ([]Candidate, time.Duration) {
