--- a/cftlab/faults/apply.go
+++ b/cftlab/faults/apply.go
@@ -15,6 +15,7 @@
 	"comfreytack/cftlab/proxy"
 	"comfreytack/cftlab/stub"
 	"comfreytack/core/model"
+	"comfreytack/core/query/check"
 )
 
 // Applier applies faults to a fleet.
@@ -64,6 +65,8 @@
 // apply begins a fault, waits and ends it.
 func (a *Applier) apply(ctx context.Context, fault Fault) error {
 	switch {
+	case fault.Kind == Evacuate:
+		return a.evacuate(ctx, fault)
 	case fault.Kind >= PlatformDown:
 		return a.failPlatform(ctx, fault)
 	case fault.Kind >= LinkReset:
@@ -111,6 +114,27 @@
 	return stub.Change{}, stub.Change{}
 }
 
+// coldTime is how long the upstreams of a domain that is taken back are cold.
+const coldTime = time.Second
+
+// evacuate evacuates a failure domain and takes it back, with upstreams that have become cold. Of two evacuations of one
+// domain at once the first to end takes it back.
+func (a *Applier) evacuate(ctx context.Context, fault Fault) error {
+	domain := a.nodes[fault.Node].Daemon.FailureDomain
+	key := check.EvacuationPrefix + string(domain)
+	if err := a.fleet.Publish(context.WithoutCancel(ctx), key, model.Evacuation{}); err != nil {
+		return err
+	}
+	sleep(ctx, fault.Duration)
+	for _, node := range a.nodes {
+		if node.Daemon.FailureDomain == domain {
+			// An upstream that is down because of another fault has nothing to change.
+			_ = a.fleet.ChangeFaults(context.WithoutCancel(ctx), node, stub.Change{ColdMs: mo.Some(int(coldTime.Milliseconds()))})
+		}
+	}
+	return a.fleet.Withdraw(context.WithoutCancel(ctx), key)
+}
+
 func (a *Applier) failPlatform(ctx context.Context, fault Fault) error {
 	change := func(on bool) plat.FaultChange {
 		switch fault.Kind {
--- a/cftlab/faults/enums_string.go
+++ b/cftlab/faults/enums_string.go
@@ -16,23 +16,24 @@
 	_ = x[Cold-5]
 	_ = x[Lie-6]
 	_ = x[Noisy-7]
-	_ = x[KillUpstream-8]
-	_ = x[KillDaemon-9]
-	_ = x[StopDaemon-10]
-	_ = x[PauseDaemon-11]
-	_ = x[LinkReset-12]
-	_ = x[LinkLate-13]
-	_ = x[LinkOneWay-14]
-	_ = x[LinkSilent-15]
-	_ = x[PlatformSilent-16]
-	_ = x[PlatformDown-17]
-	_ = x[PlatformStale-18]
-	_ = x[PlatformReordered-19]
+	_ = x[Evacuate-8]
+	_ = x[KillUpstream-9]
+	_ = x[KillDaemon-10]
+	_ = x[StopDaemon-11]
+	_ = x[PauseDaemon-12]
+	_ = x[LinkReset-13]
+	_ = x[LinkLate-14]
+	_ = x[LinkOneWay-15]
+	_ = x[LinkSilent-16]
+	_ = x[PlatformSilent-17]
+	_ = x[PlatformDown-18]
+	_ = x[PlatformStale-19]
+	_ = x[PlatformReordered-20]
 }
 
-const _Kind_name = "drainslowshedfail_fasttruncatecoldlienoisykill_upstreamkill_daemonstop_daemonpause_daemonlink_resetlink_latelink_one_waylink_silentplatform_silentplatform_downplatform_staleplatform_reordered"
+const _Kind_name = "drainslowshedfail_fasttruncatecoldlienoisyevacuatekill_upstreamkill_daemonstop_daemonpause_daemonlink_resetlink_latelink_one_waylink_silentplatform_silentplatform_downplatform_staleplatform_reordered"
 
-var _Kind_index = [...]uint8{0, 5, 9, 13, 22, 30, 34, 37, 42, 55, 66, 77, 89, 99, 108, 120, 131, 146, 159, 173, 191}
+var _Kind_index = [...]uint8{0, 5, 9, 13, 22, 30, 34, 37, 42, 50, 63, 74, 85, 97, 107, 116, 128, 139, 154, 167, 181, 199}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/cftlab/faults/faults.go
+++ b/cftlab/faults/faults.go
@@ -32,6 +32,8 @@
 	Lie // lie
 	// Noisy takes half of an upstream's slots, as a busy neighbour on its server would.
 	Noisy // noisy
+	// Evacuate evacuates the failure domain of an upstream, whose upstreams come back cold.
+	Evacuate // evacuate
 	// KillUpstream kills an upstream and later restarts it.
 	KillUpstream // kill_upstream
 	// KillDaemon kills a daemon and later restarts it.
--- a/cftlab/fleet/faults.go
+++ b/cftlab/fleet/faults.go
@@ -26,13 +26,28 @@
 	return post(ctx, f.settings.Site.PlatformControl, change)
 }
 
+// Publish sets a published key, as an operator does.
+func (f *Fleet) Publish(ctx context.Context, key string, value any) error {
+	return command(ctx, http.MethodPut, f.settings.Site.PlatformControl, "/v1/keys/"+key, value)
+}
+
+// Withdraw deletes a published key.
+func (f *Fleet) Withdraw(ctx context.Context, key string) error {
+	return command(ctx, http.MethodDelete, f.settings.Site.PlatformControl, "/v1/keys/"+key, nil)
+}
+
 func post(ctx context.Context, control model.Address, change any) error {
-	body, err := json.Marshal(change)
+	return command(ctx, http.MethodPost, control, "/control", change)
+}
+
+// command sends a command to a stand-in's control address.
+func command(ctx context.Context, method string, control model.Address, path string, value any) error {
+	body, err := json.Marshal(value)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	address := "http://" + string(control) + "/control"
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	address := "http://" + string(control) + path
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return errors.WithStack(err)
 	}
--- a/core/command/daemon/faults_test.go
+++ b/core/command/daemon/faults_test.go
@@ -61,6 +61,12 @@
 		"remove contract": func(t *rapid.T) {
 			f.platform.publish("contracts/"+rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"), nil)
 		},
+		"evacuate": func(t *rapid.T) {
+			f.platform.publish("evacuations/"+string(f.pick(t).self.FailureDomain), model.Evacuation{})
+		},
+		"take a domain back": func(t *rapid.T) {
+			f.platform.publish("evacuations/"+string(f.pick(t).self.FailureDomain), nil)
+		},
 		"mark": func(t *rapid.T) {
 			n := f.pick(t)
 			intent := rapid.SampledFrom([]model.Intent{model.Joining, model.Leave}).Draw(t, "intent")
@@ -217,6 +223,7 @@
 		same := n.state.Config.Contracts.Hash == first.Config.Contracts.Hash &&
 			n.state.Config.Services.Hash == first.Config.Services.Hash &&
 			n.state.Config.Marks.Hash == first.Config.Marks.Hash &&
+			n.state.Config.Evacuations.Hash == first.Config.Evacuations.Hash &&
 			n.state.Snapshot(f.now).Leaving.Equal(first.Snapshot(f.now).Leaving) &&
 			!n.state.Snapshot(f.now).Suspect
 		if !same {
