--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -16,6 +16,7 @@
 	"comfreytack/core/command/warm"
 	"comfreytack/core/model"
 	"comfreytack/core/query/pace"
+	"comfreytack/core/query/retry"
 	"comfreytack/core/traffic/flight"
 	"comfreytack/core/traffic/hold"
 	"comfreytack/core/traffic/idle"
@@ -119,13 +120,9 @@
 	return hold.Useless
 }
 
-// refusalLead is how long before its deadline a waiting call is refused, so that the refusal reaches its entry in time
-// and the caller learns that the call has not run.
-const refusalLead = 15 * time.Millisecond
-
-// enter waits until the request may be sent to the upstream. It gives up refusalLead before the deadline.
+// enter waits until the request may be sent to the upstream. It gives up retry.RefusalLead before the deadline.
 func (g *Gate[H, D]) enter(ctx context.Context, call model.Call) (*flight.Run, hold.Slot, *model.Failure) {
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(-refusalLead))
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(-retry.RefusalLead))
 	defer cancel()
 	if g.stale.Refuses(g.settings.Now(), g.self(), call.Instance) {
 		return nil, hold.Slot{}, talk.Refuse(model.InstanceStale)
--- a/core/query/retry/retry.go
+++ b/core/query/retry/retry.go
@@ -19,6 +19,10 @@
 // each is over at once and costs the upstream next to nothing, and the budget bounds them all the same.
 const MaxShed = 5
 
+// RefusalLead is how long before its deadline a call that waits is refused, so that the refusal reaches its entry and the
+// caller in time. An attempt that has no more time left could only be refused, and the refusal would come too late.
+const RefusalLead = 15 * time.Millisecond
+
 // MaxCrashes bounds how many attempts of one call may end with a crash of their upstream and still be followed by
 // another.
 const MaxCrashes = 1
--- a/core/traffic/send/elsewhere.go
+++ b/core/traffic/send/elsewhere.go
@@ -26,6 +26,14 @@
 	return false
 }
 
+// tooLate returns the failure of a call that has no time for another attempt: that of its last attempt, if there was one.
+func tooLate(last *model.Failure) *model.Failure {
+	if last.Reason != model.NoUpstream {
+		return last
+	}
+	return &model.Failure{Verdict: model.NotRun, Reason: model.TooLate, NoRetry: true}
+}
+
 // noneLeft returns the failure of a call for which no upstream is left. Before the first attempt it says what the
 // upstreams lack, and when to come back.
 func (s *Sender[P]) noneLeft(p *progress, call *model.Call, last *model.Failure) *model.Failure {
--- a/core/traffic/send/send.go
+++ b/core/traffic/send/send.go
@@ -74,6 +74,9 @@
 		if !found {
 			return zero, s.noneLeft(&progress, &call, last)
 		}
+		if call.Deadline.Sub(s.settings.Now()) <= retry.RefusalLead {
+			return zero, tooLate(last)
+		}
 		answer, failure := attempt(ctx, s, call, upstream, attempter)
 		if failure == nil {
 			return answer, nil
