--- a/core/setup/share.go
+++ b/core/setup/share.go
@@ -16,7 +16,9 @@
 
 // OrDefault returns the limits with the defaults for what is not set.
 func (l Limits) OrDefault() Limits {
-	return Limits{MemoryMB: cmp.Or(l.MemoryMB, defaultMemoryMB), Descriptors: cmp.Or(l.Descriptors, defaultDescriptors)}
+	l.MemoryMB = cmp.Or(l.MemoryMB, defaultMemoryMB)
+	l.Descriptors = cmp.Or(l.Descriptors, defaultDescriptors)
+	return l
 }
 
 // RuntimeBytes returns the memory that Go may use before it collects garbage more often.
