--- a/core/model/enums.go
+++ b/core/model/enums.go
@@ -130,6 +130,4 @@
 	UpstreamCold // upstream_cold
 	// MemoryShort means that the daemon has no memory left to hold the request or its answer.
 	MemoryShort // memory_short
-	// CalleeFull means that a service that the request would call has no room, so that the request would fail.
-	CalleeFull // callee_full
 )
--- a/core/model/enums_string.go
+++ b/core/model/enums_string.go
@@ -122,12 +122,11 @@
 	_ = x[DomainEvacuated-33]
 	_ = x[UpstreamCold-34]
 	_ = x[MemoryShort-35]
-	_ = x[CalleeFull-36]
 }
 
-const _Reason_name = "noneno_contractno_serviceno_upstreamnot_readyqueue_fulltoo_lateupstream_leavingdaemon_pausedquarantinedupstream_downupstream_diedupstream_shedgate_losttruncateddeadline_passedcaller_gonekey_unknownkey_expiredkey_in_usehome_lostbad_requestretries_spentslots_shortstoppingno_routebody_too_largeupstream_replacedinstance_refusedinstance_stalenearly_fullupstream_slowwrong_answerdomain_evacuatedupstream_coldmemory_shortcallee_full"
+const _Reason_name = "noneno_contractno_serviceno_upstreamnot_readyqueue_fulltoo_lateupstream_leavingdaemon_pausedquarantinedupstream_downupstream_diedupstream_shedgate_losttruncateddeadline_passedcaller_gonekey_unknownkey_expiredkey_in_usehome_lostbad_requestretries_spentslots_shortstoppingno_routebody_too_largeupstream_replacedinstance_refusedinstance_stalenearly_fullupstream_slowwrong_answerdomain_evacuatedupstream_coldmemory_short"
 
-var _Reason_index = [...]uint16{0, 4, 15, 25, 36, 45, 55, 63, 79, 92, 103, 116, 129, 142, 151, 160, 175, 186, 197, 208, 218, 227, 238, 251, 262, 270, 278, 292, 309, 325, 339, 350, 363, 375, 391, 404, 416, 427}
+var _Reason_index = [...]uint16{0, 4, 15, 25, 36, 45, 55, 63, 79, 92, 103, 116, 129, 142, 151, 160, 175, 186, 197, 208, 218, 227, 238, 251, 262, 270, 278, 292, 309, 325, 339, 350, 363, 375, 391, 404, 416}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/model/text.go
+++ b/core/model/text.go
@@ -39,7 +39,7 @@
 
 // UnmarshalText decodes a reason by name.
 func (r *Reason) UnmarshalText(text []byte) error {
-	return parse(r, text, "reason", NoReason, CalleeFull)
+	return parse(r, text, "reason", NoReason, MemoryShort)
 }
 
 type enum interface {
--- a/core/wire/headers.go
+++ b/core/wire/headers.go
@@ -80,7 +80,6 @@
 	model.DomainEvacuated:  http.StatusServiceUnavailable,
 	model.UpstreamCold:     http.StatusServiceUnavailable,
 	model.MemoryShort:      http.StatusServiceUnavailable,
-	model.CalleeFull:       http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status for a reason.
--- a/core/wire/status_test.go
+++ b/core/wire/status_test.go
@@ -35,7 +35,7 @@
 // TestOwnStatusesAreNoShedStatus checks that package check rejects every status that daemons send themselves as a
 // service's shed status: otherwise an answer passed on with that status would be taken for a refusal before any work.
 func TestOwnStatusesAreNoShedStatus(t *testing.T) {
-	for reason := model.NoContract; reason <= model.CalleeFull; reason++ {
+	for reason := model.NoContract; reason <= model.MemoryShort; reason++ {
 		t.Run(reason.String(), func(t *testing.T) {
 			var read model.Reason
 			qt.Assert(t, read.UnmarshalText([]byte(reason.String())), qt.IsNil)
