Keep the reading of paced answers out of the decision about the link

Cause: core/command/uplink wrapped an io.Reader, while core decides without input and output. Change: uplink says how long the next bytes of an answer wait; cftd/relay reads the body and waits. The two tests moved with it, with all their assertions (TestRead is TestPacedBody now). Behaviour is the same.

--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -47,7 +47,7 @@
 		relay.WriteFailure(w, failure)
 		return
 	}
-	answer.Body = g.settings.Uplink.Read(answer.Body, callClock{ctx: ctx, now: g.settings.Now})
+	answer.Body = relay.PaceBody(answer.Body, g.settings.Uplink, callClock{ctx: ctx, now: g.settings.Now})
 	relay.EnableDuplex(w, body)
 	w.Header().Set(wire.HeaderVerdict, model.Ran.String())
 	w.Header().Set(wire.HeaderReason, model.NoReason.String())
@@ -56,7 +56,7 @@
 	}
 }
 
-// callClock waits no longer than a call lasts. It implements uplink.Clock.
+// callClock waits no longer than a call lasts. It implements relay.Clock.
 type callClock struct {
 	ctx context.Context
 	now func() time.Time
--- a/core/command/uplink/uplink_test.go
+++ b/cftd/relay/paced_test.go
@@ -1,4 +1,4 @@
-package uplink_test
+package relay_test
 
 import (
 	"bytes"
@@ -9,18 +9,19 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"comfreytack/cftd/relay"
 	"comfreytack/core/command/uplink"
 )
 
-// clock is a clock in virtual time on which waiting takes no real time.
-type clock struct {
+// virtualClock is a clock in virtual time on which waiting takes no real time.
+type virtualClock struct {
 	now  time.Time
 	gone error
 }
 
-func (c *clock) Now() time.Time { return c.now }
+func (c *virtualClock) Now() time.Time { return c.now }
 
-func (c *clock) Wait(wait time.Duration) error {
+func (c *virtualClock) Wait(wait time.Duration) error {
 	c.now = c.now.Add(wait)
 	return c.gone
 }
@@ -49,11 +50,11 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			link := uplink.New(mbitPerS)
-			c := &clock{now: time.Unix(1000, 0)}
+			c := &virtualClock{now: time.Unix(1000, 0)}
 			var queued time.Duration
 			last := c.now
 			for range test.downloads {
-				body := link.Read(io.NopCloser(bytes.NewReader(make([]byte, 540_000))), c)
+				body := relay.PaceBody(io.NopCloser(bytes.NewReader(make([]byte, 540_000))), link, c)
 				part := make([]byte, 32<<10)
 				for {
 					n, err := body.Read(part)
@@ -67,7 +68,7 @@
 					qt.Assert(t, err, qt.IsNil)
 				}
 			}
-			small := link.Read(io.NopCloser(bytes.NewReader(make([]byte, 2_000))), c)
+			small := relay.PaceBody(io.NopCloser(bytes.NewReader(make([]byte, 2_000))), link, c)
 			before := c.now
 			_, err := io.ReadAll(small)
 			qt.Assert(t, err, qt.IsNil)
@@ -76,8 +77,8 @@
 	}
 }
 
-// TestRead checks what a reader does besides waiting.
-func TestRead(t *testing.T) {
+// TestPacedBody checks what a reader does besides waiting.
+func TestPacedBody(t *testing.T) {
 	gone := errors.New("gone")
 	tests := []struct {
 		name     string
@@ -93,9 +94,9 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c := &clock{now: time.Unix(1000, 0), gone: test.gone}
+			c := &virtualClock{now: time.Unix(1000, 0), gone: test.gone}
 			before := c.now
-			read, err := io.ReadAll(uplink.New(test.mbitPerS).Read(io.NopCloser(bytes.NewReader(make([]byte, 100_000))), c))
+			read, err := io.ReadAll(relay.PaceBody(io.NopCloser(bytes.NewReader(make([]byte, 100_000))), uplink.New(test.mbitPerS), c))
 			qt.Assert(t, err, qt.Equals, test.gone)
 			qt.Assert(t, len(read) >= test.want, qt.IsTrue)
 			qt.Assert(t, c.now.After(before), qt.Equals, test.waits)
--- a/core/command/uplink/uplink.go
+++ b/core/command/uplink/uplink.go
@@ -11,7 +11,6 @@
 package uplink
 
 import (
-	"io"
 	"sync"
 	"time"
 )
@@ -43,8 +42,9 @@
 	return &Link{bytesPerS: usableShare * mbitPerS * 1e6 / 8}
 }
 
-// Send counts bytes that are to be sent and returns how long to wait before sending them.
-func (l *Link) Send(now time.Time, bytes int) time.Duration {
+// Send counts the next bytes of an answer, of which earlier ones were sent already, and returns how long to wait before
+// sending them. Nothing waits within the first PartBytes of an answer.
+func (l *Link) Send(now time.Time, earlier, bytes int) time.Duration {
 	if l.bytesPerS <= 0 {
 		return 0
 	}
@@ -55,7 +55,12 @@
 		begin = l.freeAt
 	}
 	l.freeAt = begin.Add(time.Duration(float64(bytes) / l.bytesPerS * float64(time.Second)))
-	return max(0, begin.Sub(now)-ahead)
+	if earlier+bytes <= PartBytes {
+		return 0
+	}
+	wait := max(0, begin.Sub(now)-ahead)
+	l.delayed += wait
+	return wait
 }
 
 // Delayed returns for how long parts of answers have waited for the link, summed over all.
@@ -64,46 +69,3 @@
 	defer l.mu.Unlock()
 	return l.delayed
 }
-
-// waited adds to the sum of all waits.
-func (l *Link) waited(wait time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.delayed += wait
-}
-
-// Clock is how a Reader tells the time and waits.
-type Clock interface {
-	// Now reads the clock.
-	Now() time.Time
-	// Wait returns after the given time, or with an error when the answer is no longer wanted.
-	Wait(time.Duration) error
-}
-
-// Reader is the body of an answer that is read no faster than the link carries it, after its first part.
-type Reader struct {
-	io.ReadCloser
-	link  *Link
-	clock Clock
-	read  int
-}
-
-// Read returns a reader of the body.
-func (l *Link) Read(body io.ReadCloser, clock Clock) *Reader {
-	return &Reader{ReadCloser: body, link: l, clock: clock}
-}
-
-// Read implements io.Reader. It reads at most PartBytes.
-func (r *Reader) Read(data []byte) (int, error) {
-	n, err := r.ReadCloser.Read(data[:min(len(data), PartBytes)])
-	wait := r.link.Send(r.clock.Now(), n)
-	r.read += n
-	if r.read <= PartBytes || wait == 0 {
-		return n, err
-	}
-	r.link.waited(wait)
-	if gone := r.clock.Wait(wait); gone != nil {
-		return 0, gone
-	}
-	return n, err
-}
