--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -171,7 +171,7 @@
 }
 
 // awaitTurn waits until earlier requests of the caller's connection have been answered, unless the call is idempotent. The
-// configuration may have changed since the door has asked RunsAhead.
+// configuration may have changed since the intake server asked RunsAhead.
 func awaitTurn(w http.ResponseWriter, call *model.Call) error {
 	ordered, ok := w.(interface{ AwaitTurn() error })
 	if !ok || call.Idempotent {
--- a/cftd/intake/budget.go
+++ b/cftd/intake/budget.go
@@ -146,5 +146,5 @@
 	count := last.count
 	last.loggedAt, last.count = now, 0
 	b.mu.Unlock()
-	b.settings.Log.Warn("refused at the door", "port", port, field.Reason, reason, "remote", remote, "count", count)
+	b.settings.Log.Warn("request or connection refused", "port", port, field.Reason, reason, "remote", remote, "count", count)
 }
--- a/cftd/intake/exchange.go
+++ b/cftd/intake/exchange.go
@@ -32,7 +32,7 @@
 	// ahead is true when the request may run before earlier ones of the connection have been answered; it is known once
 	// classified is true. Both are guarded by the mu of the connection.
 	ahead, classified bool
-	// refusal is what the door answers instead of a handler.
+	// refusal is what the server answers in place of the handler.
 	refusal *refusal
 	// reserved is the memory that the request was granted, in bytes.
 	reserved int64
--- a/cftd/intake/reason.go
+++ b/cftd/intake/reason.go
@@ -18,7 +18,7 @@
 	reasonStopping    = "stopping"
 )
 
-// refusal is what the door answers to a request that it does not pass on.
+// refusal is what the server answers by itself to a request that it does not pass on.
 type refusal struct {
 	// label is the reason in metrics and in the log.
 	label string
