--- a/review/lab2/site.go
+++ b/review/lab2/site.go
@@ -47,6 +47,9 @@
 	limits   map[string]any
 	graceS   float64
 	storeAt  string
+
+	mu     sync.Mutex
+	closed bool
 }
 
 // The indexes of a site's ports.
@@ -152,6 +155,11 @@
 
 // startDaemon starts the daemon of a machine as deploy/system.toml says, with the settings of its template.
 func (s *site) startDaemon(m *machine) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
 	if m.settings == "" {
 		data, _ := json.MarshalIndent(map[string]any{
 			"name": m.ip, "service": m.service, "region": "sierra-norte", "failure_domain": m.zone,
@@ -263,6 +271,9 @@
 
 // close ends all daemons and removes the folder.
 func (s *site) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	for _, m := range s.machines {
 		m.mu.Lock()
 		process, exited := m.process, m.exited
