--- a/review/lab2/ahead.go
+++ b/review/lab2/ahead.go
@@ -12,13 +12,22 @@
 func init() { plays["ahead"] = playAhead }
 
 const (
-	// aheadPairs is how many connections carry a lookup and, sent ahead of its answer, an upload.
-	aheadPairs = 120
-	// earlyEvery is how often a server rejects a long request before it has read it: one in twenty.
-	earlyEvery = 20
-	// aheadAtOnce bounds the connections in use at a time.
-	aheadAtOnce = 4
-	lookupWork  = 600 * time.Millisecond
+	// aheadPairs is how many connections carry a lookup and, sent ahead of its answer, an upload, in each of aheadSpans spans
+	// with a pause between them.
+	aheadPairs = 240
+	aheadSpans = 3
+	aheadPause = 6 * time.Second
+	// earlyEvery is how often these servers reject a long request before they have read it: one in fifty.
+	earlyEvery = 50
+	// aheadAtOnce bounds the connections in use at a time, so that no server runs short of slots.
+	aheadAtOnce = 20
+	lookupWork  = 400 * time.Millisecond
+	// lookupServers and uploadServers are the numbers of servers; earlyServers of the latter reject uploads early.
+	lookupServers = 6
+	uploadServers = 4
+	earlyServers  = 2
+	// earlySpan is how long servers reject early at most.
+	earlySpan   = 5500 * time.Millisecond
 	uploadBytes = 512 << 10
 	// uploadPart is sent each uploadPause: 10 Mbit/s.
 	uploadPart  = 12500
@@ -30,12 +39,20 @@
 // playAhead has clients send an idempotent upload before their lookup has been answered. Now and then the server of the
 // uploads rejects one before it has read it.
 func playAhead(s *site, trouble bool) (bool, error) {
-	if _, err := s.addMachine("quito-centro", "buscador", workFor(lookupWork)); err != nil {
-		return false, err
+	for range lookupServers {
+		if _, err := s.addMachine("quito-centro", "buscador", lookUp); err != nil {
+			return false, err
+		}
 	}
-	uploads := &uploadServer{trouble: trouble}
-	if _, err := s.addMachine("quito-centro", "albergues", uploads.work); err != nil {
-		return false, err
+	uploads, sound := &uploadServer{trouble: trouble}, &uploadServer{}
+	for i := range uploadServers {
+		work := sound.work
+		if i < earlyServers {
+			work = uploads.work
+		}
+		if _, err := s.addMachine("quito-centro", "albergues", work); err != nil {
+			return false, err
+		}
 	}
 	s.configure(1, []route{
 		{name: "r-look", prefix: "/look/", kind: "idempotent", service: "buscador", timeoutS: 2.5, priority: 1},
@@ -45,36 +62,71 @@
 		return false, err
 	}
 	w := &aheadWatch{site: s}
+	for i := range aheadSpans {
+		if i > 0 {
+			time.Sleep(aheadPause)
+		}
+		uploads.startSpan()
+		w.playSpan(s.machines[0])
+		s.record.log("span %d: time from the first early answer to the last: %v", i+1, uploads.last.Sub(uploads.first).Round(time.Millisecond))
+	}
+	s.record.log("lookups that were passed on and lost with their connection: %d of %d (allowed: %d); early answers: %d",
+		w.lost, aheadSpans*aheadPairs, allowedLost, uploads.early)
+	return w.lost > allowedLost, nil
+}
+
+// playSpan has aheadPairs clients come, aheadAtOnce at a time.
+func (w *aheadWatch) playSpan(m *machine) {
 	slots := make(chan struct{}, aheadAtOnce)
 	var clients sync.WaitGroup
+	defer clients.Wait()
 	for range aheadPairs {
 		slots <- struct{}{}
 		clients.Go(func() {
 			defer func() { <-slots }()
-			w.pair(s.machines[0])
+			w.pair(m)
 		})
 	}
-	clients.Wait()
-	s.record.log("lookups that were passed on and lost with their connection: %d of %d (allowed: %d); early answers: %d",
-		w.lost, aheadPairs, allowedLost, uploads.early)
-	return w.lost > allowedLost, nil
 }
 
-// uploadServer answers uploads. In trouble it rejects some before it has read them, keeps the connection and reads on.
+// firstLookup is the path of the lookup that makes a connection a kept one.
+const firstLookup = "/look/first"
+
+// lookUp is the work of a server of lookups.
+func lookUp(s *server, w http.ResponseWriter, r *http.Request) (int, string) {
+	if r.URL.Path == firstLookup {
+		return workFor(time.Millisecond)(s, w, r)
+	}
+	return workFor(lookupWork)(s, w, r)
+}
+
+// uploadServer is the work of servers of uploads. In trouble they reject some before they have read them, keep the connection and read on.
 type uploadServer struct {
 	trouble bool
 
 	mu           sync.Mutex
 	count, early int
+	first, last  time.Time
+}
+
+// startSpan begins a new span.
+func (u *uploadServer) startSpan() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.first, u.last = time.Time{}, time.Time{}
 }
 
 func (u *uploadServer) work(s *server, w http.ResponseWriter, r *http.Request) (int, string) {
 	id := r.Header.Get("X-Comfreytack-Request-Id")
 	u.mu.Lock()
 	u.count++
-	early := u.trouble && u.count%earlyEvery == 0
+	early := u.trouble && u.count%earlyEvery == 0 && (u.first.IsZero() || time.Since(u.first) < earlySpan)
 	if early {
 		u.early++
+		u.last = time.Now()
+		if u.first.IsZero() {
+			u.first = u.last
+		}
 	}
 	u.mu.Unlock()
 	if !early {
@@ -107,7 +159,7 @@
 	c := &client{site: w.site, machine: m}
 	defer c.close()
 	// The connection is a kept one: a first lookup has been answered on it.
-	first := request{id: newID(), method: http.MethodGet, target: "/look/first", deadline: 5 * time.Second}
+	first := request{id: newID(), method: http.MethodGet, target: firstLookup, deadline: 5 * time.Second}
 	if got := c.do(first); got.status != http.StatusOK || got.closes {
 		return
 	}
@@ -136,7 +188,10 @@
 }
 
 func (w *aheadWatch) judge(m *machine, r request, got result) {
-	ran := w.site.machines[0].server.ran(r.id)
+	ran := 0
+	for _, other := range w.site.machines {
+		ran += other.server.ran(r.id)
+	}
 	w.site.record.log("lookup %s: connection ended without an answer (%v); runs: %d", r.id, got.err, ran)
 	if ran > 0 && !m.hasEnded() {
 		w.mu.Lock()
--- a/review/lab2/path.go
+++ b/review/lab2/path.go
@@ -11,18 +11,24 @@
 func init() { plays["path"] = playPath }
 
 const (
-	pathSends = 20
-	pathPause = 150 * time.Millisecond
-	// lostEvery is how often an answer is lost: one in five, for less than 4 s.
-	lostEvery = 5
+	pathSends = 36
+	pathPause = 80 * time.Millisecond
+	// lossyServers of pathServers lose every lostEvery-th of their answers, for less than 6 s.
+	pathServers  = 4
+	lossyServers = 2
+	lostEvery    = 4
 )
 
 // playPath holds beds whose codes have an encoded slash, so that the path begins with the prefix of the route of holds only.
 // In trouble some servers run a request and its answer is lost.
 func playPath(s *site, trouble bool) (bool, error) {
 	answers := &lossyAnswers{trouble: trouble}
-	for range 4 {
-		if _, err := s.addMachine("quito-centro", "reservas", answers.work); err != nil {
+	for i := range pathServers {
+		work := workFor(time.Millisecond)
+		if i < lossyServers {
+			work = answers.work
+		}
+		if _, err := s.addMachine("quito-centro", "reservas", work); err != nil {
 			return false, err
 		}
 	}
