--- a/cftd/entry/keyed.go
+++ b/cftd/entry/keyed.go
@@ -127,6 +127,9 @@
 	if err != nil {
 		return nil, coverAllSends(call, talk.FailureOf(err))
 	}
+	if failure := e.settings.Admit(call.Deadline); failure != nil {
+		return nil, coverAllSends(call, failure)
+	}
 	relay.SetDeadlines(w, call.Deadline)
 	body, err := relay.ReadBody(r)
 	if err != nil {
--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -40,6 +40,8 @@
 	Now func() time.Time
 	// Send picks upstreams and retries.
 	Send Send
+	// Admit returns why a call with the given deadline is not taken now, or nil.
+	Admit func(deadline time.Time) *model.Failure
 	// Home runs the calls whose idempotency keys this daemon issued.
 	Home *home.Home
 	// Meter records the metrics of calls.
@@ -88,6 +90,9 @@
 	began := e.settings.Now()
 	snapshot := e.settings.Snapshot()
 	call, failure := e.settings.Dialect.ReadCall(r, snapshot, began)
+	if failure == nil {
+		failure = e.settings.Admit(call.Deadline)
+	}
 	if !call.Target.IsZero() {
 		call.Target = call.Target.Add(-e.settings.UsedTime.Estimate(began, call.Route, call.CallerTimeout))
 	}
--- a/cftd/start/build.go
+++ b/cftd/start/build.go
@@ -232,6 +232,7 @@
 		Snapshot:   deps.control.Snapshot,
 		Now:        time.Now,
 		Send:       sendCall,
+		Admit:      deps.stopper.admit,
 		UsedTime:   prior.New(),
 		Log:        deps.log,
 		IssuesKeys: deps.front.IssuesKeys,
--- a/cftd/start/stop_test.go
+++ b/cftd/start/stop_test.go
@@ -104,19 +104,96 @@
 	}
 }
 
+const (
+	// holdWork is close to the deadline of the contract, so that a call which comes late in a stop outlasts it.
+	holdWork = 1500 * time.Millisecond
+	// bulkWork keeps a stopping daemon's upstream at work until just before the end of its stop.
+	bulkWork  = 4200 * time.Millisecond
+	bulkCalls = 4
+)
+
+// TestStopCutsNoLateCall guards against calls that a stopping daemon takes late, passes on and cuts off when it ends: while
+// its own upstream is at work its ports are open, and whoever still comes must get a whole answer or a true refusal.
+func TestStopCutsNoLateCall(t *testing.T) {
+	t.Parallel()
+	var ran sync.Map
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" {
+			_, _ = io.WriteString(w, `{"draining":false}`)
+			return
+		}
+		ran.Store(r.Header.Get(wire.HeaderRequestID), true)
+		if strings.HasPrefix(r.URL.Path, bulkPath) {
+			time.Sleep(bulkWork)
+			return
+		}
+		time.Sleep(holdWork)
+	}))
+	t.Cleanup(upstream.Close)
+	settings, stop := startStoppableOf(t, 2, model.Address(strings.TrimPrefix(upstream.URL, "http://")))
+	stopped := time.Now()
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	send := func(path, id string) {
+		sentAt := time.Since(stopped)
+		status, verdict := outcomeOf(settings.Callers, path, id)
+		_, began := ran.Load(id)
+		cut := status == 0 && began
+		qt.Check(t, cut, qt.IsFalse, qt.Commentf("call %s of %v after the stop ran, and was cut off", id, sentAt))
+		if verdict == model.NotRun.String() {
+			qt.Check(t, began, qt.IsFalse, qt.Commentf("call %s of %v after the stop ran, and was refused", id, sentAt))
+		}
+	}
+	for i := range bulkCalls {
+		sending.Go(func() { send(bulkPath, fmt.Sprint("bulk-", i)) })
+	}
+	time.Sleep(sendInterval)
+	stop()
+	for i := 0; time.Since(stopped) < stopTestMs*time.Millisecond; i++ {
+		sending.Go(func() { send("/hold", fmt.Sprint("hold-", i)) })
+		time.Sleep(sendInterval)
+	}
+}
+
+// outcomeOf sends a call on a new connection, and returns the status of its answer, or 0 if there was none, and the verdict.
+func outcomeOf(daemon model.Address, path, id string) (int, string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+string(daemon)+"/svc/reservas"+path, strings.NewReader("body"))
+	if err != nil {
+		return 0, ""
+	}
+	request.Header.Set(wire.HeaderCustomer, "police")
+	request.Header.Set(wire.HeaderRequestID, id)
+	request.Close = true
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer answer.Body.Close()
+	if _, err := io.ReadAll(answer.Body); err != nil {
+		return 0, ""
+	}
+	return answer.StatusCode, answer.Header.Get(wire.HeaderVerdict)
+}
+
 // startStoppable starts a daemon beside a callingUpstream, and returns a function that requests its stop. The test waits
 // for the end of the stop, which must succeed within the time for it.
 func startStoppable(t *testing.T) (setup.Settings, func()) {
 	t.Helper()
-	var callers model.Address
-	upstream := httptest.NewServer(callingUpstream(func() model.Address { return callers }))
+	var settings setup.Settings
+	upstream := httptest.NewServer(callingUpstream(func() model.Address { return settings.Callers }))
 	t.Cleanup(upstream.Close)
-	var stop func()
-	f := startFleetBy(t, 1, model.Address(strings.TrimPrefix(upstream.URL, "http://")), func(t testing.TB, settings setup.Settings) {
+	settings, stop := startStoppableOf(t, 1, model.Address(strings.TrimPrefix(upstream.URL, "http://")))
+	return settings, stop
+}
+
+// startStoppableOf starts daemons beside the upstream, and returns the first with a function that requests its stop.
+func startStoppableOf(t *testing.T, size int, upstream model.Address) (setup.Settings, func()) {
+	t.Helper()
+	var stops []func()
+	f := startFleetBy(t, size, upstream, func(t testing.TB, settings setup.Settings) {
 		settings.StopMs = stopTestMs
-		callers = settings.Callers
 		ctx, cancel := context.WithCancel(context.Background())
-		stop = cancel
+		stops = append(stops, cancel)
 		done := make(chan error, 1)
 		go func() { done <- Serve(ctx, Native, settings, testOptions, slog.New(slog.DiscardHandler)) }()
 		t.Cleanup(func() {
@@ -125,5 +202,5 @@
 		})
 		waitReady(t, settings)
 	})
-	return f.daemons[0], stop
+	return f.daemons[0], stops[0]
 }
