--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -100,7 +100,7 @@
 	}
 	watched := relay.TrackBody(answer.Body)
 	answer.Body = relay.OnClose(watched, func() {
-		broken := truncationFailure(ctx, watched)
+		broken := answerFailure(ctx, watched)
 		result := hold.Useless
 		if broken == nil && ctx.Err() == nil && answer.StatusCode < http.StatusInternalServerError {
 			result = hold.Useful
@@ -233,13 +233,19 @@
 
 func (g *Gate[H, D]) self() model.UpstreamName { return g.settings.Snapshot().Self.Name }
 
-// truncationFailure returns a failure when the upstream broke off its answer, and nil when the answer was complete or
-// the caller gave up first.
-func truncationFailure(ctx context.Context, body *relay.TrackedBody) *model.Failure {
-	if ctx.Err() != nil || body.ReadErr() == nil {
+// answerFailure returns why the upstream's answer is not known to its end, or nil if it is whole: the upstream broke it off,
+// or nobody reads on.
+func answerFailure(ctx context.Context, body *relay.TrackedBody) *model.Failure {
+	failure := &model.Failure{Verdict: model.MayHaveRun, Reason: model.CallerGone, Cause: body.ReadErr()}
+	switch {
+	case body.Whole():
 		return nil
+	case ctx.Err() == context.DeadlineExceeded:
+		failure.Reason = model.DeadlinePassed
+	case ctx.Err() == nil && failure.Cause != nil:
+		failure.Reason = model.UpstreamDied
 	}
-	return &model.Failure{Verdict: model.MayHaveRun, Reason: model.UpstreamDied, Cause: body.ReadErr()}
+	return failure
 }
 
 // Running reports whether the upstream is working on the request with the given ID, and that request's rank.
--- a/cftd/gate/gate_test.go
+++ b/cftd/gate/gate_test.go
@@ -46,6 +46,8 @@
 	// workTime is how long a call takes at the usual pace, and slowPercent a pace at which that is longer than a test.
 	workTime    = 10 * time.Millisecond
 	slowPercent = 1_000_000
+	// fingerprint is that of all calls.
+	fingerprint = model.Fingerprint(7)
 )
 
 // dialect has upstreams that say by a status that they are another instance.
@@ -75,6 +77,8 @@
 	// answer lets one request be answered that the upstream holds; requests for "/" are answered at once.
 	answer chan struct{}
 	warmth *warm.Limiter
+	// detector has the requests that are suspected of a crash.
+	detector *poison.Detector
 }
 
 func newFixture(t *testing.T, connections int) *fixture {
@@ -85,7 +89,7 @@
 // newFixtureStartedAt returns a fixture whose gate does not know what was sent to the upstream until the given time.
 func newFixtureStartedAt(t *testing.T, connections int, startedAt time.Time) *fixture {
 	t.Helper()
-	f := &fixture{listed: "i-1", answer: make(chan struct{}), warmth: warm.New(startedAt, warm.Bounds{})}
+	f := &fixture{listed: "i-1", answer: make(chan struct{}), warmth: warm.New(startedAt, warm.Bounds{}), detector: poison.New(poison.DefaultSettings())}
 	f.percent.Store(100)
 	f.snapshot.Store(&model.Snapshot{
 		Self:        model.Upstream{Name: self, Service: "reservas", Instance: "i-1", FailureDomain: domain},
@@ -128,7 +132,7 @@
 		Warmth:    f.warmth,
 		Work:      &idle.Counter{},
 		Flight: flight.New(flight.Settings{
-			Detector:        poison.New(poison.DefaultSettings()),
+			Detector:        f.detector,
 			DetectorChanged: func() {},
 			Now:             time.Now,
 			Down:            func() bool { return false },
@@ -157,21 +161,32 @@
 		return
 	}
 	time.Sleep(workTime)
+	if r.URL.Path == "/part" {
+		_, _ = io.WriteString(w, "a part")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		return
+	}
 	if r.URL.Path != "/" {
 		<-f.answer
 	}
 }
 
-// run sends a call through the gate and returns why it failed, or NoReason when it was answered.
-func (f *fixture) run(ctx context.Context, path string) model.Reason {
+// begin sends a call through the gate and returns its answer.
+func (f *fixture) begin(ctx context.Context, path string) (*http.Response, *model.Failure) {
 	now := time.Now()
 	call := model.Call{
 		ID: "1", Customer: "police", Service: "reservas", Route: "book", Forced: true, Instance: f.listed,
-		Target: now.Add(callTimeout), Deadline: now.Add(callTimeout),
+		Target: now.Add(callTimeout), Deadline: now.Add(callTimeout), Fingerprint: fingerprint,
 	}
-	answer, failure := f.gate.Run(ctx, call, relay.Request{
+	return f.gate.Run(ctx, call, relay.Request{
 		Method: http.MethodPost, Target: &url.URL{Path: path}, Header: http.Header{}, Body: &relay.Body{},
 	})
+}
+
+// run sends a call through the gate and returns why it failed, or NoReason when it was answered.
+func (f *fixture) run(ctx context.Context, path string) model.Reason {
+	answer, failure := f.begin(ctx, path)
 	if failure != nil {
 		return failure.Reason
 	}
@@ -274,6 +289,40 @@
 	qt.Assert(t, f.run(t.Context(), "/"), qt.Equals, model.NoReason)
 }
 
+// TestOnlyAWholeAnswerClearsASuspect guards against a request that crashes upstreams and is cleared of its crashes by a
+// caller that leaves during the answer.
+func TestOnlyAWholeAnswerClearsASuspect(t *testing.T) {
+	tests := []struct {
+		name string
+		path string
+		// read reads the answer as far as the caller wants it.
+		read          func(body io.Reader, leave func())
+		wantSuspected bool
+	}{
+		{name: "whole", path: "/", read: func(body io.Reader, _ func()) { _, _ = io.ReadAll(body) }},
+		{name: "the caller leaves before the body", path: "/part", read: func(_ io.Reader, leave func()) { leave() }, wantSuspected: true},
+		{name: "the caller leaves during the body", path: "/part", wantSuspected: true, read: func(body io.Reader, leave func()) {
+			_, _ = body.Read(make([]byte, 1))
+			leave()
+			_, _ = io.ReadAll(body)
+		}},
+		{name: "nobody reads the body", path: "/part", read: func(io.Reader, func()) {}, wantSuspected: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.detector.Crashed(time.Now(), "reservas-2", 1, []poison.Run{{Fingerprint: fingerprint, StartedAt: time.Now()}})
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			answer, failure := f.begin(ctx, test.path)
+			qt.Assert(t, failure == nil, qt.IsTrue)
+			test.read(answer.Body, leave)
+			qt.Assert(t, answer.Body.Close(), qt.IsNil)
+			qt.Assert(t, f.detector.Suspected(time.Now(), fingerprint), qt.Equals, test.wantSuspected)
+		})
+	}
+}
+
 // waitUntil waits for a condition that holds sooner or later.
 func waitUntil(condition func() bool) {
 	for !condition() {
--- a/cftd/relay/answer.go
+++ b/cftd/relay/answer.go
@@ -135,7 +135,7 @@
 	return names
 }
 
-// TrackedBody is a body that records the error that ended its reading.
+// TrackedBody is a body that records the error that ended its reading, which is io.EOF at its end.
 type TrackedBody struct {
 	io.ReadCloser
 	err atomic.Pointer[error]
@@ -149,13 +149,16 @@
 // Read implements io.Reader.
 func (w *TrackedBody) Read(data []byte) (int, error) {
 	n, err := w.ReadCloser.Read(data)
-	if err != nil && err != io.EOF {
+	if err != nil {
 		w.err.Store(&err)
 	}
 	return n, err
 }
 
-// ReadErr returns the error that ended the body early, or nil when there was none.
+// Whole reports whether the body was read to its end.
+func (w *TrackedBody) Whole() bool { return w.ReadErr() == io.EOF }
+
+// ReadErr returns the error that ended the reading, or nil if it was not ended.
 func (w *TrackedBody) ReadErr() error {
 	if err := w.err.Load(); err != nil {
 		return *err
--- a/core/traffic/flight/flight.go
+++ b/core/traffic/flight/flight.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,8 +13,12 @@
 	"comfreytack/core/model"
 )
 
-// breakWindow is the longest time over which the connections of a crashed upstream break.
-const breakWindow = time.Second
+const (
+	// breakWindow is the longest time over which the connections of a crashed upstream break.
+	breakWindow = time.Second
+	// maxUnanswered bounds the unanswered runs that are remembered.
+	maxUnanswered = 1024
+)
 
 // Settings has the explicit dependencies of a Tracker.
 type Settings struct {
@@ -40,8 +45,9 @@
 	mu      sync.Mutex
 	running map[*Run]struct{}
 	// ids has the running requests by ID.
-	ids    map[string]sends
-	broken []brokenRun
+	ids map[string]sends
+	// unanswered has the runs that ended without the upstream's whole answer, in the order in which they ended.
+	unanswered []unansweredRun
 	// incarnation is the incarnation that the last crash was attributed to; it increases with each crash.
 	incarnation model.Incarnation
 	crashedAt   time.Time
@@ -71,14 +77,20 @@
 	// bodies.
 	streamed func() model.Fingerprint
 	alone    bool
+	// deadline is when the upstream gives the request up by itself.
+	deadline time.Time
 	// startedAt is when the request went to the upstream; zero while it waits.
 	startedAt time.Time
 }
 
-// brokenRun is a run that ended because its connection broke.
-type brokenRun struct {
+// unansweredRun is a run that ended without the upstream's whole answer: its connection broke, its caller left, its
+// deadline passed or what came was no answer to it.
+type unansweredRun struct {
 	run *Run
-	at  time.Time
+	// broken is true when the upstream's end of the connection broke.
+	broken bool
+	// until is how long a crash may still come from it.
+	until time.Time
 }
 
 // New returns a Tracker without requests.
@@ -117,7 +129,7 @@
 }
 
 func (t *Tracker) newRun(call model.Call, alone bool) *Run {
-	return &Run{tracker: t, id: call.ID, rank: call.Rank, fingerprint: call.Fingerprint, prefix: call.Prefix, alone: alone}
+	return &Run{tracker: t, id: call.ID, rank: call.Rank, fingerprint: call.Fingerprint, prefix: call.Prefix, alone: alone, deadline: call.RunDeadline()}
 }
 
 // Watch sets the function that returns the fingerprint of a streamed body, or zero before its end has been read. It is
@@ -151,30 +163,71 @@
 }
 
 // End records how the request ended: with a complete answer if failure is nil. That clears the request, but not its
-// prefix, which others share.
+// prefix, which others share. The upstream may go on with a request that has no answer until its deadline; as a suspect
+// it keeps others waiting until then.
 func (r *Run) End(failure *model.Failure) {
 	t := r.tracker
-	t.finish(r, failure)
+	worksOn := t.finish(r, failure)
 	if failure == nil {
 		t.settings.Detector.Succeeded(r.whole())
 	}
-	if r.alone {
-		t.settings.Detector.EndAlone()
-		t.signalAloneEnded()
+	switch {
+	case r.alone && worksOn > 0:
+		time.AfterFunc(worksOn, t.endAlone)
+	case r.alone:
+		t.endAlone()
 	}
 }
 
-// finish removes the run, and checks for a crash if its connection broke.
-func (t *Tracker) finish(r *Run, failure *model.Failure) {
+func (t *Tracker) endAlone() {
+	t.settings.Detector.EndAlone()
+	t.signalAloneEnded()
+}
+
+// finish removes the run, and checks for a crash if its connection broke or none was to be had. It returns how long the
+// upstream may go on with the request.
+func (t *Tracker) finish(r *Run, failure *model.Failure) (worksOn time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeRunning(r)
-	if failure == nil || failure.Reason != model.UpstreamDied {
-		return
+	if failure == nil {
+		return 0
 	}
 	now := t.settings.Now()
-	t.broken = append(t.pruneBroken(now), brokenRun{run: r, at: now})
-	go t.confirmCrash(r.startedAt, now)
+	switch {
+	case failure.Reason == model.UpstreamDied:
+		t.remember(now, unansweredRun{run: r, broken: true, until: now.Add(breakWindow)})
+		go t.confirmCrash(r.startedAt, now)
+	case failure.Reason == model.UpstreamDown:
+		if last := t.lastLeft(now); last.After(t.crashedAt) {
+			go t.confirmCrash(last, now)
+		}
+	case failure.Verdict != model.NotRun && !r.startedAt.IsZero():
+		worksOn = max(0, r.deadline.Sub(now))
+		t.remember(now, unansweredRun{run: r, until: now.Add(worksOn + breakWindow)})
+	}
+	return worksOn
+}
+
+// remember adds an unanswered run, and drops those from which no crash can come any more. The caller holds the lock.
+func (t *Tracker) remember(now time.Time, ended unansweredRun) {
+	t.unanswered = slices.DeleteFunc(t.unanswered, func(u unansweredRun) bool { return now.After(u.until) })
+	if len(t.unanswered) == maxUnanswered {
+		t.unanswered = slices.Delete(t.unanswered, 0, 1)
+	}
+	t.unanswered = append(t.unanswered, ended)
+}
+
+// lastLeft returns when the last request was sent with which the upstream may still have been at work when the daemon no
+// longer waited for it; zero if there is none. The caller holds the lock.
+func (t *Tracker) lastLeft(now time.Time) time.Time {
+	var last time.Time
+	for _, u := range t.unanswered {
+		if !u.broken && !now.After(u.until) && u.run.startedAt.After(last) {
+			last = u.run.startedAt
+		}
+	}
+	return last
 }
 
 // removeRunning removes the run if it had started. The caller holds the lock.
@@ -191,7 +244,8 @@
 	t.ids[r.id] = left
 }
 
-// confirmCrash records a crash if the upstream is down after a connection broke.
+// confirmCrash records a crash if the upstream is down after a connection broke or was refused. startedAt is when the last
+// request was sent that the crash may have come from.
 func (t *Tracker) confirmCrash(startedAt, brokenAt time.Time) {
 	if !t.settings.Down() {
 		time.Sleep(t.settings.RecheckDelay)
@@ -204,7 +258,7 @@
 	t.settings.DetectorChanged()
 }
 
-// recordCrash returns the incarnation that crashed and the requests in flight at the crash. A broken request
+// recordCrash returns the incarnation that crashed and the requests in flight at the crash. A request without an answer
 // that started after the last crash means that the upstream had restarted in between, so this is a new crash.
 func (t *Tracker) recordCrash(startedAt, brokenAt time.Time) (model.Incarnation, []poison.Run) {
 	t.mu.Lock()
@@ -217,15 +271,6 @@
 	return t.incarnation, t.suspects()
 }
 
-// pruneBroken drops runs that broke too long ago to belong to a crash now, and returns the others. The caller
-// holds the lock.
-func (t *Tracker) pruneBroken(now time.Time) []brokenRun {
-	for len(t.broken) > 0 && now.Sub(t.broken[0].at) > breakWindow {
-		t.broken = t.broken[1:]
-	}
-	return t.broken
-}
-
 // suspects returns the requests in flight at the last crash. Of those with the same fingerprint it returns the one that
 // was sent last. The caller holds the lock.
 func (t *Tracker) suspects() []poison.Run {
@@ -245,9 +290,9 @@
 	for r := range t.running {
 		add(r)
 	}
-	for _, b := range t.broken {
-		if b.run.startedAt.After(t.previousCrashAt) {
-			add(b.run)
+	for _, u := range t.unanswered {
+		if u.run.startedAt.After(t.previousCrashAt) && !u.until.Before(t.crashedAt) {
+			add(u.run)
 		}
 	}
 	suspects := make([]poison.Run, 0, len(started))
--- a/core/traffic/flight/flight_test.go
+++ b/core/traffic/flight/flight_test.go
@@ -17,7 +17,14 @@
 
 const recheck = 20 * time.Millisecond
 
+// runTime is how long requests with a deadline have.
+const runTime = time.Second
+
 var (
+	refused = &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamDown}
+	garbled = &model.Failure{Verdict: model.MayHaveRun, Reason: model.WrongAnswer}
+	late    = &model.Failure{Verdict: model.MayHaveRun, Reason: model.DeadlinePassed}
+
 	died = &model.Failure{Verdict: model.MayHaveRun, Reason: model.UpstreamDied}
 	gone = &model.Failure{Verdict: model.MayHaveRun, Reason: model.CallerGone}
 )
@@ -35,7 +42,9 @@
 const rankOfRuns = 2
 
 func (h *harness) begin(fingerprint model.Fingerprint) *flight.Run {
-	run, failure := h.flight.Begin(context.Background(), model.Call{ID: fmt.Sprintf("req-%d", fingerprint), Fingerprint: fingerprint, Rank: rankOfRuns})
+	run, failure := h.flight.Begin(context.Background(), model.Call{
+		ID: fmt.Sprintf("req-%d", fingerprint), Fingerprint: fingerprint, Rank: rankOfRuns, Deadline: time.Now().Add(runTime),
+	})
 	qt.Assert(h, failure == nil, qt.IsTrue)
 	return run
 }
@@ -162,6 +171,89 @@
 			wantSuspects:    []model.Fingerprint{1, 1},
 			wantQuarantined: 1,
 		},
+		{
+			name: "a request whose caller left before the crash is suspected",
+			act: func(h *harness) {
+				other := h.start(2)
+				h.start(1).End(gone)
+				time.Sleep(runTime / 2)
+				h.crash(other)
+			},
+			wantSuspects: []model.Fingerprint{1, 2},
+		},
+		{
+			name: "a request whose answer was not its own is suspected",
+			act: func(h *harness) {
+				h.start(1).End(garbled)
+				h.crash(h.start(2))
+			},
+			wantSuspects: []model.Fingerprint{1, 2},
+		},
+		{
+			name: "a request that crashes its upstream at its deadline is suspected",
+			act: func(h *harness) {
+				other := h.start(2)
+				run := h.start(1)
+				time.Sleep(runTime)
+				run.End(late)
+				h.crash(other)
+			},
+			wantSuspects: []model.Fingerprint{1, 2},
+		},
+		{
+			name: "a request whose caller left is not suspected long after its deadline",
+			act: func(h *harness) {
+				h.start(1).End(gone)
+				time.Sleep(3 * runTime)
+				h.crash(h.start(2))
+			},
+			wantSuspects: []model.Fingerprint{2},
+		},
+		{
+			name: "a request whose caller left before an earlier crash is not suspected at the next",
+			act: func(h *harness) {
+				h.start(1).End(gone)
+				h.crash(h.start(2))
+				h.start(2).End(nil)
+				h.crash(h.start(3))
+				h.crash(h.start(3))
+			},
+			wantSuspects:    []model.Fingerprint{1, 3, 3},
+			wantQuarantined: 1,
+		},
+		{
+			name: "callers that leave each time do not keep a request from quarantine",
+			act: func(h *harness) {
+				for range poison.CrashesToQuarantine {
+					h.start(1).End(gone)
+					h.crash(h.start(2))
+					h.start(2).End(nil)
+				}
+			},
+			wantSuspects:    []model.Fingerprint{1, 1},
+			wantQuarantined: 1,
+		},
+		{
+			name: "a crash that only refused connections show is one crash of the request whose caller left",
+			act: func(h *harness) {
+				h.start(1).End(gone)
+				h.goDown(time.Now())
+				for range 3 {
+					time.Sleep(recheck)
+					h.start(2).End(refused)
+				}
+				time.Sleep(2 * recheck)
+			},
+			wantSuspects: []model.Fingerprint{1},
+		},
+		{
+			name: "a refused connection alone is no crash",
+			act: func(h *harness) {
+				h.goDown(time.Now())
+				h.start(1).End(refused)
+				time.Sleep(2 * recheck)
+			},
+		},
 		{
 			name:         "a streamed body is suspected, and all that begin like it",
 			act:          func(h *harness) { h.crash(h.upload(1, 2)) },
@@ -252,6 +344,19 @@
 	})
 }
 
+// TestSuspectWhoseCallerLeftRunsAlone guards against a second suspect beside one that the upstream still works on: both
+// would be blamed for its next crash.
+func TestSuspectWhoseCallerLeftRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.crash(h.start(1), h.start(2))
+		left := time.Now()
+		h.start(1).End(gone)
+		h.start(2).End(nil)
+		qt.Assert(t, time.Since(left), qt.Equals, runTime)
+	})
+}
+
 func newHarness(t *testing.T) *harness {
 	h := &harness{T: t, detector: poison.New(poison.DefaultSettings())}
 	h.flight = flight.New(flight.Settings{
