Don't take an answer for whole whose connection was reset during its upload

Cause: the kernel reports a reset once. When the writing goroutine gets the error, the next read sees a regular end, and an answer without a length ends there.

Ruled out: the framing check and net/http; without an upload in flight the read fails with ECONNRESET each time.

Change: countingConn asks at each end whether the connection is down, and if so returns the error that the write got. EPIPE is no reset, it means that the peer had ended its side before.

--- a/cftd/relay/conn.go
+++ b/cftd/relay/conn.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"comfreytack/core/model"
 )
@@ -23,10 +26,14 @@
 	net.Conn
 
 	mu sync.Mutex
-	// changed is broadcast when reading or closed is set.
+	// changed is broadcast when reading or closed is set, and when writing is cleared.
 	changed *sync.Cond
 	// written counts the bytes that were handed to the kernel, or are about to be.
 	written int64
+	// writing is true while a Write is in progress.
+	writing bool
+	// writeErr is the first error of a Write.
+	writeErr error
 	// reading is true while a Read is blocked; everything received before has then been consumed.
 	reading bool
 	// requestWritten is true once a byte of the current request was written.
@@ -63,11 +70,20 @@
 	}
 	c.requestWritten = true
 	c.written += int64(len(data))
+	c.writing = true
 	c.mu.Unlock()
-	return c.Conn.Write(data)
+	n, err := c.Conn.Write(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	c.changed.Broadcast()
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
 }
 
-// Read fails when bytes arrive before any byte of the current request was written.
+// Read fails when bytes arrive before any byte of the current request was written, and when the connection was reset.
 func (c *countingConn) Read(data []byte) (int, error) {
 	c.mu.Lock()
 	c.reading = true
@@ -77,12 +93,52 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
+	if err == io.EOF {
+		return n, c.endError()
+	}
 	if n > 0 && !c.requestWritten {
 		return 0, errUnsolicited
 	}
 	return n, err
 }
 
+// endError returns io.EOF when the peer has ended its side of the connection. The kernel reports a reset once, and a Write
+// may get that error: then it is returned here too, since an answer may end with its connection. The caller holds mu.
+func (c *countingConn) endError() error {
+	if !isDown(c.Conn) {
+		return io.EOF
+	}
+	// A Write on a connection that is down returns at once.
+	for c.writing {
+		c.changed.Wait()
+	}
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
+		// EPIPE comes first when the peer had ended its side before the reset.
+		return io.EOF
+	}
+	return errors.Wrap(c.writeErr, "connection lost while the request was sent")
+}
+
+// isDown reports whether both sides of a connection are down, as after a reset.
+func isDown(conn net.Conn) bool {
+	tcp, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	down := true
+	// An error means that this side has closed the connection.
+	_ = raw.Control(func(fd uintptr) {
+		events := []unix.PollFd{{Fd: int32(fd)}}
+		_, err := unix.Poll(events, 0)
+		down = err == nil && events[0].Revents&unix.POLLHUP != 0
+	})
+	return down
+}
+
 // Close closes the connection and wakes a Write that waits.
 func (c *countingConn) Close() error {
 	c.mu.Lock()
