Check the heads of answers as they are received, and bound them

What was so here: status 000 and control bytes in names were refused. Blanks in and before names, continued lines, chunks in HTTP/1.0, status 600, HTTP/2.0 and others were passed on as answers; a head of 1 MB was parsed into over 4 MB.

Cause: the relay relied on net/http, whose parser is lenient on purpose and leaves no trace of what it repaired.

Ruled out: a check of the parsed head (continued lines and Transfer-Encoding of HTTP/1.0 are gone by then); a lower limit of the library alone (it counts bytes, and 128 KB are 20,000 fields).

Change: relay.answerHead checks status line, names, values and framing of HTTP/1.0 line by line on all connections from which answers come, and bounds them at 128 KB and 1,000 lines a request (1 MB before); trailerChecker checks names behind a body. What is no answer is wrong_answer with may_have_run. The character rules of names move from intake to wire, so that callers and upstreams are held to the same.

--- a/cftd/intake/head.go
+++ b/cftd/intake/head.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"comfreytack/core/wire"
 )
 
 var (
@@ -150,15 +152,15 @@
 		return refuseVersion
 	case scan.hosts > 1, scan.hosts == 0 && request.ProtoAtLeast(1, 1) && request.Method != http.MethodConnect:
 		return refuseMalformed
-	case !consistsOf(request.Host, hostMarks):
+	case !wire.ConsistsOf(request.Host, hostMarks):
 		return refuseMalformed
 	}
 	for name, values := range request.Header {
-		if name == "" || !consistsOf(name, nameMarks) {
+		if !wire.IsFieldName(name) {
 			return refuseMalformed
 		}
 		for _, value := range values {
-			if !validValue(value) {
+			if !wire.IsFieldValue(value) {
 				return refuseMalformed
 			}
 		}
@@ -173,29 +175,5 @@
 	return strings.EqualFold(strings.TrimSpace(request.Header.Get("Expect")), "100-continue")
 }
 
-// hostMarks and nameMarks are the characters other than letters and digits in a host and in a field's name.
-const (
-	hostMarks = "!$%&'()*+,-.:;=[]_~"
-	nameMarks = "!#$%&'*+-.^_`|~"
-)
-
-// consistsOf reports whether text has only letters, digits and the given marks.
-func consistsOf(text, marks string) bool {
-	for i := range len(text) {
-		c := text[i]
-		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && strings.IndexByte(marks, c) < 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// validValue reports whether a field's value has no control character other than the tab.
-func validValue(value string) bool {
-	for i := range len(value) {
-		if c := value[i]; c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
+// hostMarks are the characters other than letters and digits in a host.
+const hostMarks = "!$%&'()*+,-.:;=[]_~"
--- a/cftd/relay/conn.go
+++ b/cftd/relay/conn.go
@@ -34,6 +34,10 @@
 	writing bool
 	// writeErr is the first error of a Write.
 	writeErr error
+	// head checks the heads of the answers to the current request. malformed is what it found, after which nothing more is
+	// received.
+	head      answerHead
+	malformed error
 	// reading is true while a Read is blocked; everything received before has then been consumed.
 	reading bool
 	// requestWritten is true once a byte of the current request was written.
@@ -83,7 +87,8 @@
 	return n, err
 }
 
-// Read fails when bytes arrive before any byte of the current request was written, and when the connection was reset.
+// Read fails when bytes arrive before any byte of the current request was written, when they are no answer, and when the
+// connection was reset.
 func (c *countingConn) Read(data []byte) (int, error) {
 	c.mu.Lock()
 	c.reading = true
@@ -99,6 +104,12 @@
 	if n > 0 && !c.requestWritten {
 		return 0, errUnsolicited
 	}
+	if c.malformed == nil {
+		c.malformed = c.head.add(data[:n])
+	}
+	if c.malformed != nil {
+		return 0, c.malformed
+	}
 	return n, err
 }
 
@@ -154,9 +165,17 @@
 	defer c.mu.Unlock()
 	c.requestWritten = false
 	c.confirm = confirm
+	c.head = answerHead{line: c.head.line[:0]}
 	return c.written
 }
 
+// malformedAnswer returns why what was received is no answer, or nil.
+func (c *countingConn) malformedAnswer() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.malformed
+}
+
 func (c *countingConn) writtenBytes() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -225,6 +244,14 @@
 	return conn != nil && conn.writtenBytes() != writtenBefore
 }
 
+// malformed returns why what was received is no answer, or nil.
+func (p *progress) malformed() error {
+	if conn, _ := p.current(); conn != nil {
+		return conn.malformedAnswer()
+	}
+	return nil
+}
+
 // abort closes the connection, so that nothing more of the request is sent.
 func (p *progress) abort() {
 	if conn, _ := p.current(); conn != nil {
--- a/cftd/relay/roundtrip.go
+++ b/cftd/relay/roundtrip.go
@@ -24,7 +24,6 @@
 	keepAliveInterval     = time.Second
 	keepAliveProbes       = 2
 	unacknowledgedTimeout = 2 * time.Second
-	maxAnswerHeaderBytes  = 1 << 20
 	connWriteBuffer       = 16 << 10
 	connReadBuffer        = 16 << 10
 	maxIdlePerAddress     = 64
@@ -66,7 +65,7 @@
 		IdleConnTimeout:        idle,
 		ExpectContinueTimeout:  continueTimeout,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		MaxResponseHeaderBytes: 2 * maxAnswerHeadBytes, // answerHead's bound comes first
 		WriteBufferSize:        connWriteBuffer,
 		ReadBufferSize:         connReadBuffer,
 	}
@@ -113,6 +112,9 @@
 	if failure := sent.refusal(); err != nil && failure != nil {
 		return nil, failure
 	}
+	if malformed := sent.malformed(); err != nil && malformed != nil {
+		return nil, &model.Failure{Verdict: model.MayHaveRun, Reason: model.WrongAnswer, Cause: malformed}
+	}
 	if err != nil {
 		return nil, roundTripFailure(ctx, err, sent.wrote(), lostReason)
 	}
@@ -127,6 +129,7 @@
 		_ = answer.Body.Close()
 		return nil, &model.Failure{Verdict: model.MayHaveRun, Reason: model.Truncated, Cause: err}
 	}
+	answer.Body = &trailerChecker{ReadCloser: answer.Body, answer: answer}
 	if request.CheckAnswer == nil {
 		return answer, nil
 	}
--- a/cftd/relay/roundtrip_test.go
+++ b/cftd/relay/roundtrip_test.go
@@ -76,8 +76,23 @@
 }
 
 func roundTrip(ctx context.Context, transport *http.Transport, address model.Address, method, id string) (string, *model.Failure) {
+	return exchange(ctx, transport, requestOf(address, method, id))
+}
+
+// roundTripUndelimited also takes answers that end with their connection.
+func roundTripUndelimited(ctx context.Context, transport *http.Transport, address model.Address, method, id string) (string, *model.Failure) {
+	request := requestOf(address, method, id)
+	request.AllowCloseDelimited = true
+	return exchange(ctx, transport, request)
+}
+
+func requestOf(address model.Address, method, id string) relay.Request {
 	header := http.Header{idHeader: {id}, "Idempotency-Key": {id}}
-	request := relay.Request{Address: address, Method: method, Target: &url.URL{Path: "/"}, Header: header, Body: &relay.Body{}}
+	return relay.Request{Address: address, Method: method, Target: &url.URL{Path: "/"}, Header: header, Body: &relay.Body{}}
+}
+
+// exchange sends a request and returns the body of its answer.
+func exchange(ctx context.Context, transport *http.Transport, request relay.Request) (string, *model.Failure) {
 	answer, failure := relay.RoundTrip(ctx, transport, request, model.UpstreamDied)
 	if failure != nil {
 		return "", failure
--- a/cftd/start/endless_test.go
+++ b/cftd/start/endless_test.go
@@ -117,3 +117,33 @@
 		}
 	}
 }
+
+// TestBodyThatNobodyReads guards against an answer without end that fills the memory of the daemon: while its caller does not
+// read, the daemon may take no more of it than buffers hold, and the connection to the upstream ends with the deadline.
+func TestBodyThatNobodyReads(t *testing.T) {
+	t.Parallel()
+	piece := []byte("8000\r\n" + strings.Repeat("x", 32<<10) + "\r\n")
+	var sent atomic.Int64
+	closed := make(chan struct{})
+	upstream := startRaw(t, func(conn net.Conn, r *http.Request) bool {
+		drain(r)
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for err == nil {
+			var n int
+			n, err = conn.Write(piece)
+			sent.Add(int64(n))
+		}
+		close(closed)
+		return false
+	})
+	f := startFleetOf(t, 1, upstream.address)
+	conn, err := net.Dial("tcp", string(f.daemons[0].Callers))
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "GET /svc/reservas/endless HTTP/1.1\r\nHost: a\r\nComfreytack-Customer: police\r\n%s: %d\r\n\r\n",
+		wire.HeaderDeadlineMs, endlessDeadline.Milliseconds())
+	qt.Assert(t, err, qt.IsNil)
+	<-closed
+	qt.Assert(t, sent.Load() > 0, qt.IsTrue)
+	qt.Assert(t, sent.Load() < endlessHead, qt.IsTrue, qt.Commentf("%d bytes were read", sent.Load()))
+}
