Believe a refusal that names no request once on a connection only

Reported of similar systems: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE).

What was so here: a copy that names its request is noticed by the ID; one without an ID was believed.

Cause: a refusal without an ID was taken for the answer to whatever was sent last on its connection, any number of times.

Ruled out: a copy with the right ID (an ID goes to an upstream once), one that comes before the next request is written (the connection is closed then).

Change: Dialect.NamesRequest says whether an answer is told from a copy. After a refusal that is not, the connection is closed; where the next request has begun on it by then, a second such refusal is wrong_answer with may_have_run.

--- a/cftd/gate/gate.go
+++ b/cftd/gate/gate.go
@@ -195,6 +195,7 @@
 	request.Address = g.settings.Upstream
 	wire.RemoveOwnHeaders(request.Header)
 	g.settings.Dialect.SetUpstream(request.Header, call, g.settings.Now())
+	request.NamesRequest = func(answer *http.Response) bool { return g.settings.Dialect.NamesRequest(call, answer) }
 	request.AllowCloseDelimited = g.settings.Dialect.AllowCloseDelimited()
 	var refusal atomic.Pointer[model.Failure]
 	request.Confirm = func() *model.Failure {
--- a/cftd/relay/conn.go
+++ b/cftd/relay/conn.go
@@ -19,6 +19,9 @@
 // errUnsolicited closes a connection on which bytes arrived that belong to no request's answer.
 var errUnsolicited = errors.New("received bytes before a request was written")
 
+// errRepeated is the cause when a refusal may be a copy of an earlier one on its connection.
+var errRepeated = errors.New("a refusal that names no request came before on this connection")
+
 // countingConn is a connection that assigns bytes to requests. It reports whether any byte of a request may have been
 // sent, and makes sure that what was received before the request was sent is not taken for its answer: net/http gives
 // a connection to the next request without looking at what follows the end of the last answer.
@@ -40,6 +43,8 @@
 	malformed error
 	// reading is true while a Read is blocked; everything received before has then been consumed.
 	reading bool
+	// retired is true once a refusal was received that names no request.
+	retired bool
 	// requestWritten is true once a byte of the current request was written.
 	requestWritten bool
 	// confirm decides immediately before its first byte whether the current request is written; nil after that.
@@ -169,6 +174,23 @@
 	return c.written
 }
 
+// retire is called after a refusal that names no request. It closes the connection, unless the next request has begun on it
+// already, and returns false if it was called before: the refusal may be a copy of that one then.
+func (c *countingConn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		return false
+	}
+	c.retired = true
+	if c.requestWritten {
+		c.closed = true
+		c.changed.Broadcast()
+		_ = c.Conn.Close()
+	}
+	return true
+}
+
 // malformedAnswer returns why what was received is no answer, or nil.
 func (c *countingConn) malformedAnswer() error {
 	c.mu.Lock()
@@ -252,6 +274,12 @@
 	return nil
 }
 
+// retire is countingConn.retire of the connection in use.
+func (p *progress) retire() bool {
+	conn, _ := p.current()
+	return conn == nil || conn.retire()
+}
+
 // abort closes the connection, so that nothing more of the request is sent.
 func (p *progress) abort() {
 	if conn, _ := p.current(); conn != nil {
--- a/cftd/relay/roundtrip.go
+++ b/cftd/relay/roundtrip.go
@@ -95,6 +95,9 @@
 	// CheckAnswer returns a failure when the response is not an answer to this request; nil accepts every response.
 	// After a failure other than NotRun the connection is closed.
 	CheckAnswer func(answer *http.Response) *model.Failure
+	// NamesRequest reports whether a response says that it belongs to this request; nil means that each does. A refusal that
+	// does not could be the copy of an earlier one: its connection is not used again.
+	NamesRequest func(answer *http.Response) bool
 	// AllowCloseDelimited accepts answers that end when their connection is closed.
 	AllowCloseDelimited bool
 }
@@ -133,11 +136,15 @@
 	if request.CheckAnswer == nil {
 		return answer, nil
 	}
-	if failure := request.CheckAnswer(answer); failure != nil {
-		discard(answer, failure, &sent)
-		return nil, failure
+	failure := request.CheckAnswer(answer)
+	if failure == nil {
+		return answer, nil
+	}
+	if failure.Verdict == model.NotRun && request.NamesRequest != nil && !request.NamesRequest(answer) && !sent.retire() {
+		failure = &model.Failure{Verdict: model.MayHaveRun, Reason: model.WrongAnswer, Cause: errRepeated}
 	}
-	return answer, nil
+	discard(answer, failure, &sent)
+	return nil, failure
 }
 
 // discard drops an answer that failed its check. After a refusal with a body of at most maxDrainBytes it reads the body
--- a/cftd/relay/roundtrip_test.go
+++ b/cftd/relay/roundtrip_test.go
@@ -167,6 +167,62 @@
 	}
 }
 
+// TestRepeatedRefusals guards against a refusal that an upstream writes once more on a kept connection, after it has begun the
+// next request: that request must not be taken for refused, or its caller sends it again.
+func TestRepeatedRefusals(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: %d\r\n%s\r\n%s"
+	tests := []struct {
+		name string
+		// refusal is written to the first request of a connection, and once more to the second.
+		refusal string
+	}{
+		{name: "without an id", refusal: fmt.Sprintf(refusal, 0, "", "")},
+		{name: "without an id, with a body", refusal: fmt.Sprintf(refusal, 4, "", "full")},
+		{name: "with an id", refusal: fmt.Sprintf(refusal, 0, idHeader+": %s\r\n", "")},
+		{name: "with an id and a body", refusal: fmt.Sprintf(refusal, 4, idHeader+": %s\r\n", "full")},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var mu sync.Mutex
+			ran := map[string]bool{}
+			firsts := map[net.Conn]string{}
+			s := startServer(t, func(conn net.Conn, id string, nth int) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				if nth == 1 {
+					firsts[conn] = strings.Replace(test.refusal, "%s", id, 1)
+				}
+				ran[id] = nth > 1
+				_, err := io.WriteString(conn, firsts[conn])
+				return err == nil
+			})
+			transport := relay.NewTransport(1, time.Second)
+			defer transport.CloseIdleConnections()
+			refused := 0
+			for i := range exchanges {
+				id := fmt.Sprint(i)
+				request := requestOf(s.address, http.MethodPost, id)
+				request.CheckAnswer = func(answer *http.Response) *model.Failure {
+					if named := answer.Header.Get(idHeader); named != "" && named != id {
+						return &model.Failure{Verdict: model.MayHaveRun, Reason: model.WrongAnswer}
+					}
+					return &model.Failure{Verdict: model.NotRun, Reason: model.UpstreamShed}
+				}
+				request.NamesRequest = func(answer *http.Response) bool { return answer.Header.Get(idHeader) == id }
+				_, failure := exchange(t.Context(), transport, request)
+				qt.Assert(t, failure != nil, qt.IsTrue)
+				mu.Lock()
+				qt.Assert(t, ran[id] && failure.Verdict == model.NotRun, qt.IsFalse, qt.Commentf("request %s ran, and got %v", id, failure))
+				mu.Unlock()
+				if failure.Reason == model.UpstreamShed {
+					refused++
+				}
+			}
+			qt.Assert(t, refused > 0, qt.IsTrue)
+		})
+	}
+}
+
 // TestCancelledRoundTrips cancels requests at every stage. A request with verdict not_run must never reach the server.
 func TestCancelledRoundTrips(t *testing.T) {
 	s := startServer(t, func(conn net.Conn, id string, _ int) bool {
--- a/cftd/talk/native.go
+++ b/cftd/talk/native.go
@@ -174,6 +174,9 @@
 	return nil
 }
 
+// NamesRequest implements Dialect: upstreams need not name the request, and callers may give one ID to several.
+func (Native) NamesRequest(model.Call, *http.Response) bool { return false }
+
 // PacePercent implements Dialect: the upstreams' answers do not report a pace.
 func (Native) PacePercent(http.Header) int { return 0 }
 
--- a/cftd/talk/talk.go
+++ b/cftd/talk/talk.go
@@ -25,6 +25,8 @@
 	// CheckAnswer returns a failure when an upstream's response is not the answer to the call: with verdict NotRun when
 	// the upstream refused before any work, and MayHaveRun when the connection must not be reused.
 	CheckAnswer(call model.Call, service model.Service, answer *http.Response) *model.Failure
+	// NamesRequest reports whether an upstream's response says that it belongs to the call.
+	NamesRequest(call model.Call, answer *http.Response) bool
 	// PacePercent reads from the headers of an upstream's answer how long work takes on its machine now, in percent of
 	// the usual time; zero when they do not say.
 	PacePercent(header http.Header) int
