--- a/cftd/intake/ahead_test.go
+++ b/cftd/intake/ahead_test.go
@@ -91,6 +91,62 @@
 	}
 }
 
+// TestUploadBehindARequest guards against an upload that ends before it was received and takes the requests before it on its
+// connection with it: they run elsewhere, and their answers must come.
+func TestUploadBehindARequest(t *testing.T) {
+	const bodyTimeout = 20 * time.Millisecond
+	tests := []struct {
+		name   string
+		upload http.HandlerFunc
+		want   string
+	}{
+		{name: "answered while its body is awaited", want: "403 close", upload: func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadFull(r.Body, make([]byte, len("part")))
+			go func() { _, _ = io.Copy(io.Discard, r.Body) }()
+			// Gives the reading of the rest time to begin. The outcome does not depend on it otherwise.
+			time.Sleep(bodyTimeout)
+			w.WriteHeader(http.StatusForbidden)
+		}},
+		{name: "answered before its body was read", want: "403 close", upload: func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusForbidden)
+		}},
+		{name: "its body comes too late", want: "400 close", upload: func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+			echo(w, r)
+		}},
+	}
+	framings := []string{"Content-Length: 100000\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n1000\r\npart"}
+	for _, test := range tests {
+		for _, framing := range framings {
+			t.Run(test.name+", "+framing[:1], func(t *testing.T) {
+				t.Parallel()
+				g := newGateway("/read1")
+				answered := make(chan struct{})
+				s := startSite(t, nil, func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/read1" {
+						g.serve(w, r)
+						return
+					}
+					test.upload(w, r)
+					close(answered)
+				})
+				c := s.dial(t)
+				c.send(t, get("/read1")+"POST /read2 HTTP/1.1\r\nHost: a\r\n"+framing)
+				<-answered
+				select {
+				case path := <-g.cancelled:
+					t.Fatalf("%s was cancelled", path)
+				case <-time.After(2 * bodyTimeout):
+				}
+				close(g.release["/read1"])
+				qt.Assert(t, c.read("GET"), qt.Equals, "200 /read1")
+				qt.Assert(t, c.read("POST"), qt.Equals, test.want)
+				qt.Assert(t, c.read("POST"), qt.Equals, "closed")
+			})
+		}
+	}
+}
+
 // TestAnswersInOrder releases requests that run at once in reverse order; one answer is larger than what is held.
 func TestAnswersInOrder(t *testing.T) {
 	paths := []string{"/read1", "/read2", "/read3"}
--- a/cftd/intake/body.go
+++ b/cftd/intake/body.go
@@ -72,7 +72,8 @@
 	return n, err
 }
 
-// end stops reading; the error is io.EOF at the end of the body. When the connection has failed, its calls are cancelled.
+// end stops reading; the error is io.EOF at the end of the body. When the caller has left, all calls of its connection are
+// cancelled. A deadline that has passed says nothing about the others: the body came too late, or nobody wants its rest.
 func (b *body) end(err error) {
 	b.err = err
 	rest, _ := b.reader.Peek(b.reader.Buffered())
@@ -81,7 +82,7 @@
 	b.inner, b.reader = nil, nil
 	close(b.done)
 	var network net.Error
-	if err == io.ErrUnexpectedEOF || errors.As(err, &network) {
+	if err == io.ErrUnexpectedEOF || errors.As(err, &network) && !network.Timeout() {
 		b.exchange.conn.cancel()
 	}
 }
