--- a/cftd/entry/attempt.go
+++ b/cftd/entry/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 
 	"comfreytack/cftd/relay"
 	"comfreytack/cftd/talk"
@@ -26,7 +25,7 @@
 	entry  *Entry[D]
 	call   model.Call
 	header http.Header
-	target *url.URL
+	target relay.Target
 	host   string
 	body   *relay.Body
 	// tries lists the attempts so far, for the log.
--- a/cftd/entry/keyed.go
+++ b/cftd/entry/keyed.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -223,7 +222,7 @@
 	answer, failure := relay.RoundTrip(ctx, e.settings.Transport, relay.Request{
 		Address: address,
 		Method:  http.MethodPost,
-		Target:  &url.URL{Path: keysPath},
+		Target:  relay.Target{Path: keysPath},
 		Header:  header,
 		Body:    &relay.Body{},
 	}, model.GateLost)
--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -218,6 +217,6 @@
 	header := http.Header{}
 	relay.CopyHeader(header, r.Header)
 	wire.RemoveOwnHeaders(header)
-	target := &url.URL{Path: call.Path, RawPath: talk.RawPath(r.URL, call), RawQuery: r.URL.RawQuery}
+	target := relay.Target{Path: call.Path, Query: r.URL.RawQuery}
 	return &attempter[D]{entry: e, call: call, header: header, target: target, host: r.Host, body: body}
 }
--- a/cftd/gate/gate_test.go
+++ b/cftd/gate/gate_test.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -180,7 +179,7 @@
 		Target: now.Add(callTimeout), Deadline: now.Add(callTimeout), Fingerprint: fingerprint,
 	}
 	return f.gate.Run(ctx, call, relay.Request{
-		Method: http.MethodPost, Target: &url.URL{Path: path}, Header: http.Header{}, Body: &relay.Body{},
+		Method: http.MethodPost, Target: relay.Target{Path: path}, Header: http.Header{}, Body: &relay.Body{},
 	})
 }
 
--- a/cftd/gate/serve.go
+++ b/cftd/gate/serve.go
@@ -39,7 +39,7 @@
 		relay.WriteFailure(w, &model.Failure{Verdict: model.NotRun, Reason: model.BadRequest, Cause: err})
 		return
 	}
-	request := relay.Request{Method: r.Method, Target: r.URL, Host: r.Host, Header: http.Header{}, Body: body}
+	request := relay.Request{Method: r.Method, Target: relay.TargetOf(r.URL), Host: r.Host, Header: http.Header{}, Body: body}
 	relay.CopyHeader(request.Header, r.Header)
 	answer, failure := g.Run(ctx, call, request)
 	wire.SetReport(w.Header(), g.Report())
--- a/cftd/relay/confirm_test.go
+++ b/cftd/relay/confirm_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,7 +47,7 @@
 				body = &relay.Body{Rest: test.body, Length: 0}
 			}
 			answer, failure := relay.RoundTrip(t.Context(), transport, relay.Request{
-				Address: s.address, Method: http.MethodPost, Target: &url.URL{Path: "/"},
+				Address: s.address, Method: http.MethodPost, Target: relay.Target{Path: "/"},
 				Header: http.Header{idHeader: {"second"}}, Body: body,
 				Confirm: func() *model.Failure {
 					qt.Check(t, s.count("second"), qt.Equals, 0)
--- a/cftd/relay/cut_test.go
+++ b/cftd/relay/cut_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -97,7 +96,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answer, failure := relay.RoundTrip(ctx, transport, relay.Request{
-		Address: address, Method: http.MethodPost, Target: &url.URL{Path: "/"}, Header: http.Header{},
+		Address: address, Method: http.MethodPost, Target: relay.Target{Path: "/"}, Header: http.Header{},
 		Body: &relay.Body{Rest: io.LimitReader(endless{}, uploadBytes), Length: uploadBytes}, AllowCloseDelimited: true,
 	}, model.UpstreamDied)
 	if failure != nil {
--- a/cftd/relay/roundtrip.go
+++ b/cftd/relay/roundtrip.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"slices"
 	"syscall"
 	"time"
@@ -75,9 +74,9 @@
 type Request struct {
 	// Address is where the request is sent.
 	Address model.Address
-	// Method, Target and Host come from the caller; Target is the path with its query.
+	// Method, Target and Host come from the caller.
 	Method string
-	Target *url.URL
+	Target Target
 	Host   string
 	// Header is sent with Expect and User-Agent set as needed; it belongs to this attempt and may be changed.
 	Header http.Header
@@ -187,14 +186,8 @@
 		body = &tailReader{ReadCloser: body, tail: request.Tail}
 	}
 	return &http.Request{
-		Method: request.Method,
-		URL: &url.URL{
-			Scheme:   "http",
-			Host:     string(request.Address),
-			Path:     request.Target.Path,
-			RawPath:  request.Target.RawPath,
-			RawQuery: request.Target.RawQuery,
-		},
+		Method:        request.Method,
+		URL:           request.Target.url(request.Address),
 		Host:          request.Host,
 		Header:        request.Header,
 		Body:          body,
--- a/cftd/relay/roundtrip_test.go
+++ b/cftd/relay/roundtrip_test.go
@@ -88,7 +88,7 @@
 
 func requestOf(address model.Address, method, id string) relay.Request {
 	header := http.Header{idHeader: {id}, "Idempotency-Key": {id}}
-	return relay.Request{Address: address, Method: method, Target: &url.URL{Path: "/"}, Header: header, Body: &relay.Body{}}
+	return relay.Request{Address: address, Method: method, Target: relay.Target{Path: "/"}, Header: header, Body: &relay.Body{}}
 }
 
 // exchange sends a request and returns the body of its answer.
@@ -167,6 +167,34 @@
 	}
 }
 
+// TestTargetIsSentAsReceived guards against a request that reaches the upstream with another path or query than its caller
+// sent.
+func TestTargetIsSentAsReceived(t *testing.T) {
+	targets := []string{
+		"/", "/a/b", "/a%2Fb", "/a%2fb%41", "/a|b{c}", "/a/\xc3\xa9", "/a//b", "/a/./../b", "/a;b=c", "/a?b=c%20d&e|f", "/a?b?c", "/a+b:c@d",
+	}
+	received := make(chan string, 1)
+	address := acceptRaw(t, func(conn *net.TCPConn) {
+		line, _ := bufio.NewReader(conn).ReadString('\n')
+		received <- line
+		_, _ = io.WriteString(conn, ok(""))
+	})
+	transport := relay.NewTransport(1, time.Second)
+	defer transport.CloseIdleConnections()
+	for _, target := range targets {
+		t.Run(target, func(t *testing.T) {
+			u, err := url.ParseRequestURI(target)
+			qt.Assert(t, err, qt.IsNil)
+			request := requestOf(address, http.MethodGet, "1")
+			request.Target = relay.TargetOf(u)
+			_, failure := exchange(t.Context(), transport, request)
+			qt.Assert(t, failure == nil, qt.IsTrue)
+			qt.Assert(t, <-received, qt.Equals, "GET "+target+" HTTP/1.1\r\n")
+			transport.CloseIdleConnections()
+		})
+	}
+}
+
 // TestRepeatedRefusals guards against a refusal that an upstream writes once more on a kept connection, after it has begun the
 // next request: that request must not be taken for refused, or its caller sends it again.
 func TestRepeatedRefusals(t *testing.T) {
--- a/cftd/talk/native.go
+++ b/cftd/talk/native.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -29,7 +28,7 @@
 // ReadCall implements Dialect: the service comes from a route of the configuration document, the path or the host; the
 // customer comes from a header.
 func (Native) ReadCall(r *http.Request, snapshot *model.Snapshot, now time.Time) (model.Call, *model.Failure) {
-	route, routed := match.Route(snapshot.Routes, r.Host, r.URL.Path)
+	route, routed := match.Route(snapshot.Routes, r.Host, wire.EncodedPath(r.URL))
 	service, path := serviceOf(r)
 	call := model.Call{
 		ID:       r.Header.Get(wire.HeaderRequestID),
@@ -39,7 +38,7 @@
 		Path:     path,
 	}
 	if routed {
-		applyRoute(&call, route, r.URL.Path, snapshot.Self.Service, now)
+		applyRoute(&call, route, wire.EncodedPath(r.URL), snapshot.Self.Service, now)
 	}
 	if call.ID == "" {
 		call.ID = uuid.NewString()
@@ -96,7 +95,7 @@
 // serviceOf splits "/svc/reservas/holds" into "reservas" and "/holds". For other paths the Host header names the
 // service.
 func serviceOf(r *http.Request) (model.ServiceName, string) {
-	service, path := splitPath(r.URL.Path)
+	service, path := splitPath(wire.EncodedPath(r.URL))
 	if service == "" {
 		host, _, _ := strings.Cut(r.Host, ":")
 		service = host
@@ -114,15 +113,6 @@
 	return service, "/" + path
 }
 
-// RawPath returns the URL.RawPath for a call's path: empty when the default encoding of the path is the right one.
-func RawPath(requested *url.URL, call model.Call) string {
-	if requested.RawPath == "" || call.Path == requested.Path {
-		return requested.RawPath
-	}
-	_, rawPath := splitPath(requested.RawPath)
-	return rawPath
-}
-
 // classify returns the class of a request and whether it is idempotent, from the first route that matches, as the gate
 // does. Requests without a route are short.
 func classify(service model.Service, method, path string) (model.Class, bool) {
--- a/cftd/talk/native_test.go
+++ b/cftd/talk/native_test.go
@@ -11,6 +11,7 @@
 	"comfreytack/core/model"
 	"comfreytack/core/query/limits"
 	"comfreytack/core/query/match"
+	"comfreytack/core/wire"
 )
 
 func TestClassify(t *testing.T) {
@@ -39,6 +40,42 @@
 	}
 }
 
+// TestEncodedPaths checks that an encoded slash separates nothing, neither the service from the path nor segments of a route.
+func TestEncodedPaths(t *testing.T) {
+	service := model.Service{Name: "reservas", Routes: []model.Route{{Method: http.MethodPost, PathPrefix: "/share", Idempotent: true}}}
+	snapshot := &model.Snapshot{
+		Ready:    true,
+		Limits:   map[model.Customer]model.Limits{"police": {}},
+		Services: map[model.ServiceName]model.Service{"reservas": service},
+	}
+	tests := []struct {
+		name           string
+		path           string
+		wantPath       string
+		wantIdempotent bool
+		want           model.Reason
+	}{
+		{name: "plain", path: "/svc/reservas/share/7", wantPath: "/share/7", wantIdempotent: true},
+		{name: "a slash in a segment", path: "/svc/reservas/share%2F7", wantPath: "/share%2F7"},
+		{name: "other bytes stay as they are", path: "/svc/reservas/share/%61|%7C", wantPath: "/share/%61|%7C", wantIdempotent: true},
+		{name: "a slash in the service", path: "/svc/reservas%2Fshare/7", wantPath: "/7", want: model.NoService},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodPost, "http://beds.example"+test.path, nil)
+			r.Header.Set(wire.HeaderCustomer, "police")
+			call, failure := Native{}.ReadCall(r, snapshot, time.Unix(1000, 0))
+			qt.Assert(t, call.Path, qt.Equals, test.wantPath)
+			if test.want != model.NoReason {
+				qt.Assert(t, failure.Reason, qt.Equals, test.want)
+				return
+			}
+			qt.Assert(t, failure == nil, qt.IsTrue)
+			qt.Assert(t, call.Idempotent, qt.Equals, test.wantIdempotent)
+		})
+	}
+}
+
 func TestRoutesOfADocument(t *testing.T) {
 	now := time.Unix(1000, 0)
 	routes := []model.HostRoute{{
--- a/core/command/class/class.go
+++ b/core/command/class/class.go
@@ -13,6 +13,7 @@
 
 	"comfreytack/core/cache"
 	"comfreytack/core/model"
+	"comfreytack/core/query/match"
 )
 
 const (
@@ -98,9 +99,10 @@
 	c.learnt.Set(key, known)
 }
 
-// MatchRoute returns the first configured route of the service that matches a request. A prefix matches whole
-// segments: "/share" matches "/share" and "/share/7" but not "/shared".
-func MatchRoute(service model.Service, method, path string) (model.Route, bool) {
+// MatchRoute returns the first configured route of the service that matches a request with the path as it was sent. A
+// prefix matches whole segments: "/share" matches "/share" and "/share/7" but not "/shared" or "/share%2F7".
+func MatchRoute(service model.Service, method, encodedPath string) (model.Route, bool) {
+	path := match.Path(encodedPath)
 	for _, route := range service.Routes {
 		if route.Method != "" && route.Method != method {
 			continue
--- a/core/command/class/class_test.go
+++ b/core/command/class/class_test.go
@@ -28,6 +28,7 @@
 		{name: "configured as long", method: "POST", path: "/shares/settle/7", want: model.Long},
 		{name: "configured for another method", method: "GET", path: "/shares/settle/7", want: model.Short},
 		{name: "a prefix matches whole segments", method: "POST", path: "/shares/settled", want: model.Short},
+		{name: "an encoded slash separates no segments", method: "POST", path: "/shares/settle%2F7", want: model.Short},
 		{name: "unknown", method: "GET", path: "/report/2026/all", want: model.Short},
 		{name: "one long run is not enough", method: "GET", path: "/report/2026/all", runs: []int{28}, want: model.Short},
 		{name: "two long runs of the same pattern", method: "GET", path: "/report/2027/all", runs: []int{100, 100}, want: model.Long},
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -38,7 +38,7 @@
 	Nested bool
 	// Origin is the service of the entry's local upstream.
 	Origin ServiceName
-	// Method and Path select the Route.
+	// Method and Path select the Route. Path is encoded as the caller sent it, and goes to the upstream so.
 	Method string
 	Path   string
 	// Class and Idempotent follow from the route.
--- a/core/query/match/match.go
+++ b/core/query/match/match.go
@@ -14,6 +14,7 @@
 	table := map[string][]model.HostRoute{}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
+		route.PathPrefix = Path(route.PathPrefix)
 		table[host] = append(table[host], route)
 	}
 	for _, hostRoutes := range table {
@@ -24,11 +25,12 @@
 	return table
 }
 
-// Route returns the route with the longest prefix of the path. The host may include a port.
+// Route returns the route with the longest prefix of the path, which is the one that was sent. The host may include a port.
 //
 //	routes "/a/" and "/a/b/":  "/a/b/c" -> "/a/b/",  "/a/x" -> "/a/",  "/a" -> none
-func Route(table map[string][]model.HostRoute, host, path string) (model.HostRoute, bool) {
+func Route(table map[string][]model.HostRoute, host, encodedPath string) (model.HostRoute, bool) {
 	name, _, _ := strings.Cut(host, ":")
+	path := Path(encodedPath)
 	for _, route := range table[strings.ToLower(name)] {
 		if strings.HasPrefix(path, route.PathPrefix) {
 			return route, true
--- a/core/query/match/match_test.go
+++ b/core/query/match/match_test.go
@@ -27,6 +27,12 @@
 		{name: "prefix without its slash", host: "beds.example", path: "/a", want: ""},
 		{name: "port and case", host: "BEDS.example:80", path: "/a/x", want: "short"},
 		{name: "other host", host: "other.example", path: "/a/b/c", want: "other"},
+		{name: "an encoded slash separates nothing", host: "beds.example", path: "/a/b%2Fc", want: "short"},
+		{name: "an encoded slash in small letters", host: "beds.example", path: "/a/b%2fc", want: "short"},
+		{name: "an encoded slash behind the prefix", host: "beds.example", path: "/a/b/c%2Fd", want: "long"},
+		{name: "an encoded slash in the place of the first", host: "beds.example", path: "/a%2Fb/c", want: ""},
+		{name: "an encoded letter", host: "beds.example", path: "/a/%62/c", want: "long"},
+		{name: "an encoded percent sign", host: "beds.example", path: "/a/b%252Fc", want: "short"},
 		{name: "unknown host", host: "none.example", path: "/a/b/c", want: ""},
 	}
 	for _, test := range tests {
--- a/core/wire/call.go
+++ b/core/wire/call.go
@@ -87,7 +87,7 @@
 		Customer:   model.Customer(fields.Get(fieldCustomer)),
 		Service:    model.ServiceName(fields.Get(fieldService)),
 		Method:     r.Method,
-		Path:       r.URL.Path,
+		Path:       EncodedPath(r.URL),
 		Idempotent: fields.Get(fieldIdempotent) == flagTrue,
 		Suspect:    fields.Get(fieldSuspect) == flagTrue,
 		Forced:     fields.Get(fieldForced) == flagTrue,
