--- a/cftd/relay/cut_test.go
+++ b/cftd/relay/cut_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -75,6 +76,30 @@
 	}
 }
 
+// TestUpstreamThatReadsLate guards against an upstream that is alive, does not read for a while and is taken for lost.
+func TestUpstreamThatReadsLate(t *testing.T) {
+	t.Parallel()
+	const (
+		silence = 2500 * time.Millisecond
+		late    = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+	)
+	address := acceptRaw(t, func(conn *net.TCPConn) {
+		time.Sleep(silence)
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			_, _ = io.WriteString(conn, late)
+		}
+	})
+	transport := relay.NewTransport(1, time.Second)
+	defer transport.CloseIdleConnections()
+	body, err := upload(t.Context(), transport, address)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, "late")
+}
+
 // unread returns how many bytes have been received and not read.
 func unread(conn *net.TCPConn) int {
 	count := 0
--- a/cftd/relay/roundtrip.go
+++ b/cftd/relay/roundtrip.go
@@ -12,40 +12,27 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"comfreytack/core/model"
 )
 
 const (
-	dialTimeout           = 250 * time.Millisecond
-	continueTimeout       = time.Second
-	keepAliveInterval     = time.Second
-	keepAliveProbes       = 2
-	unacknowledgedTimeout = 2 * time.Second
-	connWriteBuffer       = 16 << 10
-	connReadBuffer        = 16 << 10
-	maxIdlePerAddress     = 64
+	dialTimeout       = 250 * time.Millisecond
+	continueTimeout   = time.Second
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
+	connWriteBuffer   = 16 << 10
+	connReadBuffer    = 16 << 10
+	maxIdlePerAddress = 64
 	// maxDrainBytes bounds the body of a refusal that is read to its end.
 	maxDrainBytes = 256 << 10
 )
 
-// keepAlive detects a connection whose peer disappeared without closing it.
+// keepAlive detects a connection whose peer disappeared without closing it. There is no bound on unacknowledged bytes
+// (TCP_USER_TIMEOUT): the kernel applies it to a peer that is alive and does not read for a while, too. A request that is being
+// sent ends with its answer or its deadline.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}
 
-// setUserTimeout makes the kernel close a connection whose bytes the peer has not acknowledged within
-// unacknowledgedTimeout, for example because the peer's server lost power.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optionErr
-}
-
 // hopByHopHeaders apply to one connection only and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -56,7 +43,7 @@
 // connection that was idle for the given time, which must be less than the receiver's own idle timeout: when the
 // receiver closes a connection while a request is on its way, nobody can tell whether the request ran.
 func NewTransport(connections int, idle time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	return &http.Transport{
 		DialContext:            countingDialer(dialer),
 		MaxConnsPerHost:        connections,
