Send an empty query on, and take requests of any method

Cause: relay.Target kept no trace of a question mark with nothing behind it; the callers' port went through a router that knows a fixed list of methods, for the sake of one path.

Change: Target.EmptyQuery; the entry's handler compares method and path itself.

Tests: rows of TestTargetIsSentAsReceived and TestPathOfACall failed before.

--- a/cftd/entry/serve.go
+++ b/cftd/entry/serve.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-chi/chi/v5"
-
 	"comfreytack/cftd/home"
 	"comfreytack/cftd/meter"
 	"comfreytack/cftd/relay"
@@ -68,14 +66,15 @@
 	return &Entry[D]{settings: settings}
 }
 
-// Handler serves the callers' port.
+// Handler serves the callers' port. It takes requests of any method, those that no router knows included.
 func (e *Entry[D]) Handler() http.Handler {
-	router := chi.NewRouter()
-	if e.settings.IssuesKeys {
-		router.Post(keysPath, e.keys)
-	}
-	router.HandleFunc("/*", e.serve)
-	return router
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.settings.IssuesKeys && r.Method == http.MethodPost && r.URL.Path == keysPath {
+			e.keys(w, r)
+			return
+		}
+		e.serve(w, r)
+	})
 }
 
 // RunsAhead reports whether a caller's request may run before earlier ones of its connection have been answered: whether
@@ -217,6 +216,8 @@
 	header := http.Header{}
 	relay.CopyHeader(header, r.Header)
 	wire.RemoveOwnHeaders(header)
-	target := relay.Target{Path: call.Path, Query: r.URL.RawQuery}
+	target := relay.TargetOf(r.URL)
+	// The service may have been named in front of the path.
+	target.Path = call.Path
 	return &attempter[D]{entry: e, call: call, header: header, target: target, host: r.Host, body: body}
 }
--- a/cftd/relay/roundtrip_test.go
+++ b/cftd/relay/roundtrip_test.go
@@ -171,7 +171,8 @@
 // sent.
 func TestTargetIsSentAsReceived(t *testing.T) {
 	targets := []string{
-		"/", "/a/b", "/a%2Fb", "/a%2fb%41", "/a|b{c}", "/a/\xc3\xa9", "/a//b", "/a/./../b", "/a;b=c", "/a?b=c%20d&e|f", "/a?b?c", "/a+b:c@d",
+		"/", "/a/b", "/a%2Fb", "/a%2fb%41", "/a|b{c}", "/a/\xc3\xa9", "/a//b", "/a/./../b", "/a;b=c", "/a?b=c%20d&e|f", "/a?b?c", "/a+b:c@d", "/a?", "/a//b?",
+		"//a/b", "*",
 	}
 	received := make(chan string, 1)
 	address := acceptRaw(t, func(conn *net.TCPConn) {
--- a/cftd/start/path_test.go
+++ b/cftd/start/path_test.go
@@ -64,6 +64,8 @@
 	}{
 		{"lookup", "GET", "/svc/reservas/beds?near=quito", "police", "", 200, "ran", "none", "GET /beds?near=quito police "},
 		{"hold", "POST", "/svc/reservas/holds", "police", "bed 7", 200, "ran", "none", "POST /holds police bed 7"},
+		{"a method of its own", "SEARCH", "/svc/reservas/beds?", "police", "", 200, "ran", "none", "SEARCH /beds? police "},
+		{"another path for keys", "GET", "/keys", "police", "", 404, "not_run", "no_service", ""},
 		{"no contract", "GET", "/svc/reservas/beds", "nobody", "", 403, "not_run", "no_contract", ""},
 		{"no service", "GET", "/svc/laundry/beds", "police", "", 404, "not_run", "no_service", ""},
 		{"large body", "POST", "/svc/reservas/holds", "police", strings.Repeat("x", 200_000), 200, "ran", "none", "POST /holds police " + strings.Repeat("x", 200_000)},
