Use another connection when a pooled one turns out to be closed

What callers saw: after a refusal that names no request, the next request could fail with upstream_down, not_run.

Cause: the connection is closed after such a refusal, but the transport had pooled it already when the answer was checked. The same happens when the upstream closes an idle connection at the moment at which it is taken.

Ruled out: closing before the answer is checked (only the check knows that the refusal names nobody), the transport's own repetition (it is off on purpose, since it would also repeat after a byte was written).

Change: RoundTrip repeats the request on another connection if a pooled one carried none of it, the body can still be sent and no confirmation was refused. A fresh connection ends the loop.

--- a/cftd/relay/conn.go
+++ b/cftd/relay/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http/httptrace"
 	"sync"
 	"syscall"
 
@@ -224,13 +225,15 @@
 	mu            sync.Mutex
 	conn          *countingConn
 	writtenBefore int64
+	// reused is true if the connection has carried another request.
+	reused bool
 	// refused is why the request was not confirmed, or nil.
 	refused *model.Failure
 }
 
 // useConn records the connection that the request will use.
-func (p *progress) useConn(conn net.Conn) {
-	counting, ok := conn.(*countingConn)
+func (p *progress) useConn(info httptrace.GotConnInfo) {
+	counting, ok := info.Conn.(*countingConn)
 	if !ok {
 		return
 	}
@@ -238,9 +241,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conn = counting
+	p.reused = info.Reused
 	p.writtenBefore = writtenBefore
 }
 
+// foundClosed reports whether the request got a pooled connection on which nothing of it was written, for no reason of its
+// own.
+func (p *progress) foundClosed() bool {
+	p.mu.Lock()
+	mayRepeat := p.reused && p.refused == nil
+	p.mu.Unlock()
+	return mayRepeat && !p.wrote()
+}
+
 // confirmed reports whether the request may be written now.
 func (p *progress) confirmed() bool {
 	if p.confirm == nil {
--- a/cftd/relay/roundtrip.go
+++ b/cftd/relay/roundtrip.go
@@ -90,11 +90,24 @@
 
 // RoundTrip sends one request and returns its answer. On failure the verdict is NotRun only if no byte of the
 // request was written or CheckAnswer says so. A failure of the connection after a byte was written has reason
-// lostReason, unless ctx has ended.
+// lostReason, unless ctx has ended. A pooled connection that turns out to be closed before that says nothing of the receiver:
+// the request goes on another one.
 func RoundTrip(ctx context.Context, transport *http.Transport, request Request, lostReason model.Reason) (*http.Response, *model.Failure) {
-	sent := progress{confirm: request.Confirm}
+	for {
+		sent := progress{confirm: request.Confirm}
+		answer, failure := roundTrip(ctx, transport, request, lostReason, &sent)
+		if failure == nil || !sent.foundClosed() || ctx.Err() != nil || request.Tail != nil || !request.Body.CanResend() {
+			return answer, failure
+		}
+	}
+}
+
+// roundTrip is one try of RoundTrip.
+func roundTrip(
+	ctx context.Context, transport *http.Transport, request Request, lostReason model.Reason, sent *progress,
+) (*http.Response, *model.Failure) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { sent.useConn(info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) { sent.useConn(info) },
 	})
 	outgoing := outgoingRequest(request).WithContext(ctx)
 	answer, err := transport.RoundTrip(outgoing)
@@ -129,7 +142,7 @@
 	if failure.Verdict == model.NotRun && request.NamesRequest != nil && !request.NamesRequest(answer) && !sent.retire() {
 		failure = &model.Failure{Verdict: model.MayHaveRun, Reason: model.WrongAnswer, Cause: errRepeated}
 	}
-	discard(answer, failure, &sent)
+	discard(answer, failure, sent)
 	return nil, failure
 }
 
--- a/cftd/relay/roundtrip_test.go
+++ b/cftd/relay/roundtrip_test.go
@@ -243,6 +243,8 @@
 				mu.Lock()
 				qt.Assert(t, ran[id] && failure.Verdict == model.NotRun, qt.IsFalse, qt.Commentf("request %s ran, and got %v", id, failure))
 				mu.Unlock()
+				// That a connection was closed on account of an earlier request is no failure of this one.
+				qt.Assert(t, failure.Reason, qt.Not(qt.Equals), model.UpstreamDown)
 				if failure.Reason == model.UpstreamShed {
 					refused++
 				}
