Let deletions reach daemons that learn the rest from another one

What would be seen: a server that left while the platform dropped its history, or an evacuation that was taken back then, stays in force at daemons that learn of it from another one (DRAIN).

Cause: a daemon that lists everything records how the list differs from what it had, and passed that on as all changes since then, also to daemons that had more; and the remembered deletions in a copy counted as names of what the copy has.

Ruled out: the platform's list, the order of changes within a table.

Change: model.Delta.Exact marks differences that lead on from one revision alone; Recent keeps where they are. Daemons at another revision get a copy. Deletions in a copy name nothing.

--- a/core/command/config/config.go
+++ b/core/command/config/config.go
@@ -6,6 +6,7 @@
 //	complete 10, delta 8..14  ->  complete 14, changes 11 to 14 applied
 //	complete 10, delta 12..14 ->  Gap: request the delta after 10
 //	complete 10, delta 3..9   ->  Old: nothing happens
+//	complete 10, an exact delta 8..14 (model.Delta)  ->  Gap
 package config
 
 import (
@@ -92,9 +93,10 @@
 	if delta.Revision <= s.Complete {
 		return Old
 	}
-	if delta.After > s.Complete {
+	if delta.After > s.Complete || delta.Exact && delta.After != s.Complete {
 		return Gap
 	}
+	before := s.Complete
 	changes := slices.Clone(delta.Changes)
 	sortChanges(changes)
 	for _, change := range changes {
@@ -105,6 +107,9 @@
 		s.Recent.Add(change)
 	}
 	s.Complete = delta.Revision
+	if delta.Exact {
+		s.Recent.pass(before, s.Complete)
+	}
 	s.dropUnlistedMarks()
 	return Applied
 }
--- a/core/command/config/copy.go
+++ b/core/command/config/copy.go
@@ -38,11 +38,14 @@
 	}
 	keys := make(map[string]bool, len(source.Changes)+len(source.Refusals))
 	for _, change := range source.Changes {
-		keys[change.Key] = true
+		if !change.Deleted {
+			keys[change.Key] = true
+		}
 	}
 	for _, refusal := range source.Refusals {
 		keys[refusal.Key] = true
 	}
+	before := s.Complete
 	s.recordCopy(source, keys)
 	s.Contracts.retain(keys)
 	s.Services.retain(keys)
@@ -53,6 +56,9 @@
 	clear(s.Refusals)
 	s.setAll(source)
 	s.Complete = source.Revision
+	if before >= s.Recent.Floor {
+		s.Recent.pass(before, s.Complete)
+	}
 	s.dropUnlistedMarks()
 	s.dropUnlistedLate()
 	return Applied
--- a/core/model/change.go
+++ b/core/model/change.go
@@ -22,6 +22,9 @@
 	After Revision `json:"after"`
 	// Revision is the last revision of the range; not less than that of any change in it.
 	Revision Revision `json:"revision"`
+	// Exact is true when the range has only what differs between After and some later revision, so that it leads on from After
+	// alone and not from a revision in between.
+	Exact bool `json:"exact,omitempty"`
 	// Changes are in ascending order of revision.
 	Changes []Change `json:"changes,omitempty"`
 }
