Follow the platform's store when it comes back from an older copy

What callers would see: after such a drill daemons went on in a history that no longer exists. Where the counter had passed it at once, they mixed both histories without noticing.

Cause: revisions were compared as plain numbers, and nothing read the era that the store's answers name.

Ruled out: a reset of the daemon's state at each drill (it would forget the newest version, leavings and evacuations, which bind while the store has lost them), an order of changes of its own beside the revision (all that compares revisions would need both).

What is kept never blocks the next change of its key.

Not done: drills with real processes, cost at several sizes.

--- a/core/command/config/config.go
+++ b/core/command/config/config.go
@@ -7,6 +7,9 @@
 //	complete 10, delta 12..14 ->  Gap: request the delta after 10
 //	complete 10, delta 3..9   ->  Old: nothing happens
 //	complete 10, an exact delta 8..14 (model.Delta)  ->  Gap
+//
+// When the platform comes back from an older copy of itself, a new era of revisions begins (model.Revision), and what it has
+// lost is not in force any more, but for what era.go keeps.
 package config
 
 import (
@@ -65,6 +68,8 @@
 	Evacuations *Table[model.FailureDomain, model.Evacuation]
 	// Late has the newest entry of an instance that is older than the one in force, and not in force for that reason.
 	Late map[model.InstanceID]Entry[model.Upstream]
+	// Departed has the last entry of instances that were deleted, with the revision of the deletion; at most maxTombstones.
+	Departed map[model.InstanceID]Entry[model.Upstream]
 	// Refusals says by key why the newest value is not in force; at most maxRefusals.
 	Refusals map[string]model.Refusal
 	// Recent has the newest changes, including those of services that are not kept.
@@ -81,6 +86,7 @@
 		Instances: NewTable[model.InstanceID, model.Upstream](),
 		Documents: NewTable[string, model.Document](),
 		Late:      map[model.InstanceID]Entry[model.Upstream]{},
+		Departed:  map[model.InstanceID]Entry[model.Upstream]{},
 		Refusals:  map[string]model.Refusal{},
 
 		Evacuations: NewTable[model.FailureDomain, model.Evacuation](),
@@ -110,6 +116,9 @@
 	if delta.Exact {
 		s.Recent.pass(before, s.Complete)
 	}
+	if before.IsBeforeEraOf(s.Complete) {
+		s.enterEra()
+	}
 	s.dropUnlistedMarks()
 	return Applied
 }
@@ -171,7 +180,8 @@
 	}))
 }
 
-// setEntry applies a change to a table. It returns a fault if the value is not valid.
+// setEntry applies a change to a table. It returns a fault if the value is not valid. The value in force then stands, but it
+// is not newer than what it stands for.
 func setEntry[K comparable, T any](table *Table[K, T], name K, change model.Change, decode func(K, []byte) (T, *strict.Fault)) *strict.Fault {
 	if change.Deleted {
 		table.Delete(name, Tombstone{Key: change.Key, Revision: change.Revision})
@@ -179,6 +189,7 @@
 	}
 	value, fault := decode(name, change.Value)
 	if fault != nil {
+		table.restamp(name, change.Revision)
 		return fault
 	}
 	table.Put(name, Entry[T]{Key: change.Key, Revision: change.Revision, Raw: change.Value, Value: value})
--- a/core/command/config/copy.go
+++ b/core/command/config/copy.go
@@ -24,8 +24,8 @@
 	Refusals []model.Refusal `json:"refusals,omitempty"`
 }
 
-// Merge replaces the configuration with a newer full copy from another daemon. Entries that the copy names neither as
-// a value nor as a refusal are removed.
+// Merge replaces the configuration with a newer full copy from another daemon or from the platform. Entries that the copy
+// names neither as a value nor as a refusal are removed.
 func (s *Store) Merge(source Copy) Outcome {
 	if source.Revision < s.Complete {
 		return Old
@@ -45,17 +45,24 @@
 	for _, refusal := range source.Refusals {
 		keys[refusal.Key] = true
 	}
+	if source.Revision.Era() > 0 {
+		// The platform may have lost the document; whoever publishes it writes it again.
+		keys[check.DocumentKey] = true
+	}
 	before := s.Complete
 	s.recordCopy(source, keys)
 	s.Contracts.retain(keys)
 	s.Services.retain(keys)
 	s.Marks.retain(keys)
-	s.Instances.retain(keys)
-	s.Documents.retain(keys)
+	s.retainInstances(source, keys)
 	s.Evacuations.retain(keys)
+	s.Documents.retain(keys)
 	clear(s.Refusals)
 	s.setAll(source)
 	s.Complete = source.Revision
+	if before.IsBeforeEraOf(s.Complete) {
+		s.enterEra()
+	}
 	if before >= s.Recent.Floor {
 		s.Recent.pass(before, s.Complete)
 	}
@@ -71,17 +78,7 @@
 		s.Recent.Reset(source.Revision)
 		return
 	}
-	var differences []model.Change
-	for _, change := range source.Changes {
-		if change.Revision > s.Complete {
-			differences = append(differences, change)
-		}
-	}
-	for _, change := range s.CopyFor(nil).Changes {
-		if !keys[change.Key] && !change.Deleted {
-			differences = append(differences, model.Change{Key: change.Key, Revision: source.Revision, Deleted: true})
-		}
-	}
+	differences := s.differences(source, keys)
 	sortChanges(differences)
 	for _, change := range differences {
 		s.Recent.Add(change)
--- a/core/command/config/instances.go
+++ b/core/command/config/instances.go
@@ -11,19 +11,27 @@
 )
 
 // setInstance sets the entry of one instance, unless it arrives late: a delayed publisher may write an entry after a
-// later incarnation, or the same one with a higher sequence number, has published its own.
+// later incarnation, or the same one with a higher sequence number, has published its own. In a later era it may also be the
+// entry of an instance that has left since.
 func (s *Store) setInstance(change model.Change) {
 	id := model.InstanceID(strings.TrimPrefix(change.Key, check.InstancePrefix))
 	if change.Deleted {
 		delete(s.Late, id)
+		s.noteDeparted(id, s.Instances.Entries[id], change)
 	}
-	s.updateRefusal(change, setEntry(s.Instances, id, change, func(id model.InstanceID, raw []byte) (model.Upstream, *strict.Fault) {
+	fault := setEntry(s.Instances, id, change, func(id model.InstanceID, raw []byte) (model.Upstream, *strict.Fault) {
 		upstream, fault := check.Instance(id, raw)
-		if fault == nil && s.arrivesLate(id, Entry[model.Upstream]{Revision: change.Revision, Value: upstream}) {
+		entry := Entry[model.Upstream]{Revision: change.Revision, Value: upstream}
+		switch {
+		case fault != nil:
+		case s.hasDeparted(id, entry):
+			fault = &strict.Fault{File: change.Key, Line: 1, Found: "an entry of before its deletion", Allowed: "a newer entry"}
+		case s.arrivesLate(id, entry):
 			fault = &strict.Fault{File: change.Key, Line: 1, Found: "an entry older than the one in force", Allowed: "a newer entry"}
 		}
 		return upstream, fault
-	}))
+	})
+	s.updateRefusal(change, fault)
 }
 
 // arrivesLate reports whether an entry is older than the one in force and comes alone. Two such entries in a row, the
--- a/core/command/config/table.go
+++ b/core/command/config/table.go
@@ -98,6 +98,31 @@
 	delete(t.Deleted, oldest)
 }
 
+// restamp gives an entry of an earlier era a revision of a later one without another value: what was published at that
+// revision is not newer.
+func (t *Table[K, T]) restamp(name K, revision model.Revision) {
+	entry, known := t.Entries[name]
+	if !known || !entry.Revision.IsBeforeEraOf(revision) {
+		return
+	}
+	t.Hash ^= hash(entry.Key, entry.Revision) ^ hash(entry.Key, revision)
+	entry.Revision = revision
+	t.Entries[name] = entry
+}
+
+// enterEra gives all entries of earlier eras the revisions that their numbers have in the era of complete, at most complete,
+// or that of the refused value that they stand for. It is called when all that differs there has been applied: what remains
+// was published before the copy from which that era began, or is kept although it is not in that copy.
+func (t *Table[K, T]) enterEra(complete model.Revision, refusals map[string]model.Refusal) {
+	for name, entry := range t.Entries {
+		revision, _ := model.RevisionOf(complete.Era(), entry.Revision.Number())
+		if refusal, refused := refusals[entry.Key]; refused && refusal.Revision.Era() == complete.Era() {
+			revision = refusal.Revision
+		}
+		t.restamp(name, min(revision, complete))
+	}
+}
+
 // changes returns the entries and tombstones as changes, in no particular order.
 func (t *Table[K, T]) changes() []model.Change {
 	changes := make([]model.Change, 0, len(t.Entries)+len(t.Deleted))
--- a/core/command/daemon/daemon.go
+++ b/core/command/daemon/daemon.go
@@ -115,7 +115,7 @@
 		Gossip:   gossip.New(now, settings.Random),
 		Lease:    lease.New(settings.Random),
 		Leaves:   leave.New(),
-		Expired:  Expired{Kept: map[model.InstanceID]model.Upstream{}},
+		Expired:  Expired{Kept: map[model.InstanceID]model.Upstream{}, Evacuations: map[model.FailureDomain]model.Revision{}},
 		Pause:    pause.New(now),
 		Start:    newStart(now, settings.Self.Peer, settings.Seeds),
 		self:     self,
@@ -230,10 +230,15 @@
 }
 
 // applyConfig applies a change of the configuration, and keeps the upstreams that it removed if their entries may
-// only have expired.
+// only have expired, and what the platform may have lost.
 func (s *State) applyConfig(now time.Time, change func() config.Outcome) {
 	before := values(s.Config.Instances)
+	evacuated := s.Expired.evacuated(s.Config.Evacuations)
+	revision := s.Config.Complete
 	outcome := change()
+	if revision > 0 && revision.IsBeforeEraOf(s.Config.Complete) {
+		s.Expired.enterEra(now, evacuated, s.Config)
+	}
 	s.Expired.keepVanished(now, before, values(s.Config.Instances))
 	s.outcome(outcome)
 }
--- a/core/command/daemon/faults_test.go
+++ b/core/command/daemon/faults_test.go
@@ -1,19 +1,24 @@
 package daemon_test
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"comfreytack/core/command/config"
 	"comfreytack/core/command/daemon"
 	"comfreytack/core/command/reader"
 	"comfreytack/core/model"
+	"comfreytack/core/query/check"
 )
 
 // TestMain sets a fixed seed, so that every run has the same result.
@@ -98,13 +103,23 @@
 				n.disturbedAt = f.now
 			}
 		},
-		"join sides":     func(*rapid.T) { f.joinPartitions() },
-		"platform down":  func(*rapid.T) { f.platform.down = true },
-		"platform up":    func(*rapid.T) { f.platform.down, f.platform.staleRevision = false, 0 },
-		"platform stale": func(*rapid.T) { f.platform.staleRevision = max(1, f.platform.revision/2) },
-		"wait":           func(t *rapid.T) { f.run(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms")) * time.Millisecond) },
-		"wait little":    func(t *rapid.T) { f.run(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond) },
-		"":               f.check,
+		"join sides":    func(*rapid.T) { f.joinPartitions() },
+		"platform down": func(*rapid.T) { f.platform.down = true },
+		"platform up":   func(*rapid.T) { f.platform.down, f.platform.staleRevision = false, 0 },
+		"platform stale": func(*rapid.T) {
+			f.platform.staleRevision = max(1, f.platform.revision-model.Revision(f.platform.revision.Number()/2))
+		},
+		"platform copied": func(*rapid.T) { f.platform.save() },
+		"platform restored": func(t *rapid.T) {
+			if f.platform.saved == nil {
+				return
+			}
+			longest := rapid.IntRange(0, 3000).Draw(t, "ms until all is written again")
+			f.restorePlatform(func() time.Duration { return time.Duration(f.random.IntN(longest+1)) * time.Millisecond })
+		},
+		"wait":        func(t *rapid.T) { f.run(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms")) * time.Millisecond) },
+		"wait little": func(t *rapid.T) { f.run(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond) },
+		"":            f.check,
 	}
 }
 
@@ -219,6 +234,9 @@
 		return false
 	}
 	first := f.nodes[0].state
+	if !f.matchesPlatform(first.Config) {
+		return false
+	}
 	for _, n := range f.nodes[1:] {
 		same := n.state.Config.Contracts.Hash == first.Config.Contracts.Hash &&
 			n.state.Config.Services.Hash == first.Config.Services.Hash &&
@@ -233,8 +251,40 @@
 	return true
 }
 
+// matchesPlatform reports whether a daemon has the contracts and evacuations that are published, and no others.
+func (f *faults) matchesPlatform(inForce *config.Store) bool {
+	// invalid counts the published values that no daemon takes; an earlier value of the key may be in force.
+	contracts, evacuations, invalid := 0, 0, 0
+	for key, change := range f.platform.newest {
+		customer, isContract := strings.CutPrefix(key, "contracts/")
+		domain, isEvacuation := strings.CutPrefix(key, "evacuations/")
+		switch {
+		case change.Deleted:
+		case check.Value(key, change.Value) != nil:
+			invalid++
+		case isContract:
+			contracts++
+			if !bytes.Equal(inForce.Contracts.Entries[model.Customer(customer)].Raw, change.Value) {
+				return false
+			}
+		case isEvacuation:
+			evacuations++
+			if _, evacuated := inForce.Evacuations.Entries[model.FailureDomain(domain)]; !evacuated {
+				return false
+			}
+		}
+	}
+	return contracts+invalid >= len(inForce.Contracts.Entries) && evacuations == len(inForce.Evacuations.Entries)
+}
+
 func (f *faults) differences() string {
 	text := ""
+	for _, key := range slices.Sorted(maps.Keys(f.platform.newest)) {
+		text += fmt.Sprintf("\npublished %s at %d, deleted %v", key, f.platform.newest[key].Revision, f.platform.newest[key].Deleted)
+	}
+	for _, change := range f.nodes[0].state.Config.CopyFor(nil).Changes {
+		text += fmt.Sprintf("\nin force %s at %d, deleted %v", change.Key, change.Revision, change.Deleted)
+	}
 	for _, n := range f.nodes {
 		snapshot := n.state.Snapshot(f.now)
 		leaving := snapshot.Leaving.ToSlice()
--- a/core/command/daemon/listed.go
+++ b/core/command/daemon/listed.go
@@ -6,19 +6,29 @@
 	"slices"
 	"time"
 
+	"comfreytack/core/command/config"
 	"comfreytack/core/model"
 )
 
-// expiredGrace is how long an upstream whose entry vanished during an outage of the platform is still called
-// after the outage: one that still runs is listed again by then.
-const expiredGrace = 2 * time.Second
+const (
+	// expiredGrace is how long an upstream whose entry vanished during an outage of the platform is still called
+	// after the outage: one that still runs is listed again by then.
+	expiredGrace = 2 * time.Second
+	// rewriteGrace is how long an evacuation stays in force that the platform has lost: its operator writes it again.
+	rewriteGrace = 10 * time.Second
+)
 
-// Expired has the upstreams whose entries vanished during an outage of the platform.
+// Expired has the upstreams whose entries vanished during an outage of the platform, and the evacuations that it lost when it
+// came back from an older copy of itself.
 type Expired struct {
 	// Kept has the vanished upstreams, which are still called until Until.
 	Kept map[model.InstanceID]model.Upstream
 	// Until is the end of the grace period after the last outage; zero before the first.
 	Until time.Time
+	// Evacuations has the lost evacuations, which are still in force until EvacuatedUntil, with the revision at which each was
+	// found to be lost.
+	Evacuations    map[model.FailureDomain]model.Revision
+	EvacuatedUntil time.Time
 }
 
 // startGrace starts the grace period when the platform answers again.
@@ -26,6 +36,29 @@
 	e.Until = now.Add(expiredGrace)
 }
 
+// enterEra starts the grace periods when the platform has come back from an older copy of itself, and keeps the evacuations
+// that it lacks.
+func (e *Expired) enterEra(now time.Time, before []model.FailureDomain, after *config.Store) {
+	e.startGrace(now)
+	e.EvacuatedUntil = now.Add(rewriteGrace)
+	for _, domain := range before {
+		if _, evacuated := after.Evacuations.Entries[domain]; !evacuated {
+			e.Evacuations[domain] = after.Complete
+		}
+	}
+}
+
+// evacuated returns the evacuated failure domains, the lost evacuations included unless they were taken back since.
+func (e *Expired) evacuated(listed *config.Table[model.FailureDomain, model.Evacuation]) []model.FailureDomain {
+	domains := slices.Collect(maps.Keys(listed.Entries))
+	for domain, lostAt := range e.Evacuations {
+		if _, again := listed.Entries[domain]; !again && listed.Deleted[domain].Revision <= lostAt {
+			domains = append(domains, domain)
+		}
+	}
+	return domains
+}
+
 // keepVanished keeps the upstreams that are in before and not in after, if that happens in the grace period.
 // Upstreams that had announced that they leave are not kept.
 func (e *Expired) keepVanished(now time.Time, before, after map[model.InstanceID]model.Upstream) {
@@ -39,13 +72,18 @@
 	}
 }
 
-// endGrace drops the kept upstreams once the grace period is over, and reports whether there were any.
+// endGrace drops what is kept once its grace period is over, and reports whether there was anything.
 func (e *Expired) endGrace(now time.Time) bool {
-	if len(e.Kept) == 0 || now.Before(e.Until) {
-		return false
+	ended := false
+	if len(e.Kept) > 0 && !now.Before(e.Until) {
+		clear(e.Kept)
+		ended = true
+	}
+	if len(e.Evacuations) > 0 && !now.Before(e.EvacuatedUntil) {
+		clear(e.Evacuations)
+		ended = true
 	}
-	clear(e.Kept)
-	return true
+	return ended
 }
 
 // addTo returns the listed upstreams together with those that are kept; a listed one replaces a kept one.
--- a/core/command/daemon/view.go
+++ b/core/command/daemon/view.go
@@ -32,12 +32,13 @@
 	snapshot.Refusals = maps.Clone(s.Config.Refusals)
 	document := s.document()
 	instances := s.Expired.addTo(values(s.Config.Instances))
+	evacuated := s.Expired.evacuated(s.Config.Evacuations)
 	current := inputs{
 		contracts: s.Config.Contracts.Hash ^ s.Config.Documents.Hash,
 		services:  s.Config.Services.Hash ^ s.Config.Instances.Hash ^ s.Config.Documents.Hash ^ uint64(len(s.Expired.Kept)),
 		document:  s.Config.Documents.Hash,
 
-		evacuations: s.Config.Evacuations.Hash,
+		evacuations: s.Config.Evacuations.Hash ^ uint64(len(evacuated)),
 	}
 	if snapshot.Contracts == nil || current.contracts != s.inputs.contracts {
 		snapshot.Contracts = values(s.Config.Contracts)
@@ -53,7 +54,7 @@
 		s.instancesChanged(snapshot.Services)
 	}
 	if current.services != s.inputs.services || current.evacuations != s.inputs.evacuations {
-		snapshot.Evacuated, snapshot.Open = evacuate(s.Config.Evacuations, snapshot.Services)
+		snapshot.Evacuated, snapshot.Open = evacuate(evacuated, snapshot.Services)
 	}
 	snapshot.Self = s.selfAsListed()
 	snapshot.Slots = s.slots(snapshot.Services)
--- a/core/command/daemon/world_test.go
+++ b/core/command/daemon/world_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -33,6 +34,52 @@
 	reads         int
 	// history has each revision with the time of its publication.
 	history []revisionSince
+	// saved is a copy of the platform, from which it may come back; nil while there is none.
+	saved *platform
+}
+
+// save makes the copy from which the platform may come back.
+func (p *platform) save() {
+	p.saved = &platform{revision: p.revision, newest: maps.Clone(p.newest)}
+}
+
+// restore lets the platform come back from its copy, in a new era. It returns the values that it has lost.
+func (p *platform) restore() []model.Change {
+	era := p.revision.Era() + 1
+	inEra := func(revision model.Revision) model.Revision {
+		result, _ := model.RevisionOf(era, revision.Number())
+		return result
+	}
+	var lost []model.Change
+	for key, change := range p.newest {
+		if p.saved.newest[key].Revision != change.Revision {
+			lost = append(lost, change)
+		}
+	}
+	slices.SortFunc(lost, func(a, b model.Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	p.revision, p.newest, p.staleRevision = inEra(p.saved.revision), maps.Clone(p.saved.newest), 0
+	for key, change := range p.newest {
+		change.Revision = inEra(change.Revision)
+		p.newest[key] = change
+	}
+	p.save()
+	return lost
+}
+
+// restorePlatform lets the platform come back from its copy. What it has lost is written again after a while, unless there
+// is something newer by then.
+func (w *world) restorePlatform(delay func() time.Duration) {
+	for _, lost := range w.platform.restore() {
+		inCopy := w.platform.newest[lost.Key].Revision
+		w.after(delay(), func() {
+			if w.platform.newest[lost.Key].Revision != inCopy {
+				return
+			}
+			w.platform.revision++
+			lost.Revision = w.platform.revision
+			w.platform.newest[lost.Key] = lost
+		})
+	}
 }
 
 func (p *platform) publish(key string, value any) model.Revision {
@@ -64,9 +111,14 @@
 	return revision
 }
 
-func (p *platform) read(after model.Revision) model.Delta {
+// read returns the changes after a revision, or the whole content if that is of an earlier era.
+func (p *platform) read(after model.Revision) daemon.ChangesRead {
+	whole := after > 0 && after.IsBeforeEraOf(p.revision)
+	if whole {
+		after = 0
+	}
 	delta := model.Delta{After: after, Revision: p.revision}
-	if p.staleRevision > 0 {
+	if p.staleRevision > 0 && !whole {
 		delta.Revision = p.staleRevision
 	}
 	for _, change := range p.newest {
@@ -75,7 +127,11 @@
 		}
 	}
 	slices.SortFunc(delta.Changes, func(a, b model.Change) int { return cmp.Compare(a.Revision, b.Revision) })
-	return delta
+	if whole {
+		// A list has no deletions.
+		delta.Changes = slices.DeleteFunc(delta.Changes, func(change model.Change) bool { return change.Deleted })
+	}
+	return daemon.ChangesRead{Delta: delta, Whole: whole}
 }
 
 // timer is a function to run at a virtual time; order decides between equal times.
@@ -336,12 +392,12 @@
 		w.apply(n, starts, daemon.ChangesRead{Failed: true})
 		return
 	}
-	delta := w.platform.read(n.after)
-	if len(delta.Changes) == 0 && w.now.Before(until) {
+	read := w.platform.read(n.after)
+	if len(read.Delta.Changes) == 0 && !read.Whole && w.now.Before(until) {
 		w.after(10*time.Millisecond, func() { w.answer(n, starts, until) })
 		return
 	}
-	w.apply(n, starts, daemon.ChangesRead{Delta: delta})
+	w.apply(n, starts, read)
 }
 
 // run advances the virtual time.
--- a/core/model/names.go
+++ b/core/model/names.go
@@ -27,9 +27,6 @@
 // Address is an IP address and port, for example "127.0.0.1:7001".
 type Address string
 
-// Revision orders published changes. Zero means that nothing has been published.
-type Revision uint64
-
 // Fingerprint is the same for requests with the same customer, method, path and body.
 // Zero means that the request has no fingerprint.
 type Fingerprint uint64
