--- a/cftd/relay/roundtrip_test.go
+++ b/cftd/relay/roundtrip_test.go
@@ -34,24 +34,12 @@
 
 func startServer(t *testing.T, answer func(conn net.Conn, id string, nth int) bool) *server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &server{address: model.Address(listener.Addr().String()), seen: map[string]int{}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn, answer)
-		}
-	}()
+	s := &server{seen: map[string]int{}}
+	s.address = acceptRaw(t, func(conn *net.TCPConn) { s.serve(conn, answer) })
 	return s
 }
 
 func (s *server) serve(conn net.Conn, answer func(conn net.Conn, id string, nth int) bool) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for nth := 1; ; nth++ {
 		r, err := http.ReadRequest(reader)
