Wait until a paused process is stopped before the test goes on

Traced by reading: the answer "ran" can come from the home alone, which gets SIGCONT only after that answer, so it was not stopped yet. The kernel stops the threads of a process one by one, and the test sent the request right after the signal. It now waits until /proc shows all threads as stopped. What is asserted is the same.

--- a/cftd/start/process_test.go
+++ b/cftd/start/process_test.go
@@ -1,10 +1,12 @@
 package start
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -57,11 +59,30 @@
 	defer p.mu.Unlock()
 	command := p.running[settings.Name]
 	qt.Assert(t, command.Process.Signal(signal), qt.IsNil)
-	if signal == syscall.SIGKILL {
+	switch signal {
+	case syscall.SIGKILL:
 		_ = command.Wait()
+	case syscall.SIGSTOP:
+		// The threads of a process stop one by one, which takes a while on a busy machine.
+		eventually(t, func() bool { return isStopped(t, command.Process.Pid) })
 	}
 }
 
+// isStopped reports whether all threads of a process are stopped.
+func isStopped(t *testing.T, pid int) bool {
+	t.Helper()
+	threads, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "task", "*", "stat"))
+	qt.Assert(t, err, qt.IsNil)
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		// The state follows the name of the program, which is in brackets.
+		if end := bytes.LastIndexByte(stat, ')'); err != nil || !bytes.HasPrefix(stat[end+1:], []byte(" T")) {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
+
 // scenario is a fleet of processes and a key that the first daemon issued.
 type scenario struct {
 	*processes
