Review case 11: early answers for 5 s at a time, inside the dose

Cause: the first form had early answers all the time; the longest dose of garble on the site is 5.5 s.

--- a/review/lab3/early.go
+++ b/review/lab3/early.go
@@ -15,8 +15,11 @@
 	longBody = 32 << 20
 	// longAnswer is the size of its answer.
 	longAnswer = 2 << 20
-	// earlyThousandths is the share of the answers that half of the servers give early.
+	// earlyThousandths is the share of the answers that half of the servers give early, for earlyFor at a time, after which
+	// all answers come late for as long.
 	earlyThousandths = 50
+	earlyFor         = 5 * time.Second
+	earlyTimes       = 8
 	// lostAllowed is how many requests the rule LOST lets pass.
 	lostAllowed = 3
 )
@@ -30,16 +33,13 @@
 		}
 		return 400
 	}
-	for i := range 4 {
+	for range 4 {
 		m, err := l.add("reservas", "z", 9, 18, work, size)
 		if err != nil {
 			fmt.Println(err)
 			return 2
 		}
 		m.server.readsOnAfter = 400 * time.Millisecond
-		if trouble && i%2 == 0 {
-			m.server.early.Store(earlyThousandths)
-		}
 	}
 	l.configure([]route{{"r-hold", "beds.example", "/hold/", "non_idempotent", 1.5, 0.8, 1, "reservas", 2}}, []string{"reservas"})
 	for _, m := range l.machines {
@@ -54,7 +54,7 @@
 	}
 	time.Sleep(time.Second)
 	body := answerBody("client", "upload", longBody)
-	end := time.Now().Add(75 * time.Second)
+	end := time.Now().Add(2 * earlyTimes * earlyFor)
 	var running sync.WaitGroup
 	for _, m := range l.machines {
 		for range 3 {
@@ -71,11 +71,29 @@
 			})
 		}
 	}
+	for range earlyTimes {
+		l.answerEarly(trouble, earlyThousandths)
+		time.Sleep(earlyFor)
+		l.answerEarly(trouble, 0)
+		time.Sleep(earlyFor)
+	}
 	running.Wait()
 	time.Sleep(time.Second)
 	return l.judgeEarly()
 }
 
+// answerEarly sets the share of early answers of every second server.
+func (l *lab) answerEarly(trouble bool, thousandths int64) {
+	if !trouble {
+		return
+	}
+	for i, m := range l.machines {
+		if i%2 == 0 {
+			m.server.early.Store(thousandths)
+		}
+	}
+}
+
 // judgeEarly counts the requests whose server gave its whole answer, and that the client got no answer to.
 func (l *lab) judgeEarly() int {
 	sent, served, counts := map[string]event{}, map[string]bool{}, map[string]int{}
