--- a/review/lab3/gone.go
+++ b/review/lab3/gone.go
@@ -17,6 +17,8 @@
 	// leavingShare is the share of the clients that leave early, and leaveWithin when they do.
 	leavingShare = 0.3
 	leaveWithin  = 400 * time.Millisecond
+	// leavingFor is how long clients leave at a time; for as long after that none does.
+	leavingFor = 5 * time.Second
 	// aFew is how many requests may reach a server late. The rule says "more than a few".
 	aFew = 10
 )
@@ -55,7 +57,7 @@
 		running.Go(func() {
 			p := &pool{lab: l, machine: m}
 			a := ask{kind: "unsafe", method: "POST", host: "export.example", target: "/x/set", body: answerBody("c", newID(), uploadBytes), deadline: 2500 * time.Millisecond}
-			if trouble && rand.Float64() < leavingShare {
+			if trouble && time.Since(began)/leavingFor%2 == 0 && rand.Float64() < leavingShare {
 				leaving.Add(1)
 				a.leaveAfter = time.Duration(rand.Int64N(int64(leaveWithin)))
 			}
